--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decides which request runs on which backend server and when: the queue of a service, the slots
+//! of its backend servers, one-shot tickets and the retry budget.
+//!
+//! The crate is pure. Time comes in as [`model::MonoTime`], decisions go out as values, and nothing
+//! here knows sockets, threads or the store.
+
+pub mod budget;
+pub mod fair;
+pub mod learn;
+pub mod queue;
+pub mod slots;
+pub mod ticket;
+
+pub use budget::RetryBudget;
+pub use learn::RouteMemory;
+pub use queue::{
+    QueueCounters, QueueEffect, QueueId, QueuedRequest, RefusalCause, ServiceQueue, SlotReport,
+};
+pub use slots::{
+    DispatchRule, LateBinding, ServerSlots, ServerState, ServerView, SlotOutcome, SlotTable,
+};
+pub use ticket::{
+    BeginOutcome, KeyOutcome, StoredAnswer, TicketEnd, TicketError, TicketKey, TicketLimits,
+    TicketSerial, TicketTable, TicketText,
+};
--- /dev/null
+++ b/crates/entry/src/caller_port.rs
@@ -0,0 +1,244 @@
+//! The port for callers: addresses, tickets and calls over HTTP/1.1 and HTTP/2.
+
+use crate::answer::{CallRefusal, lost_answer};
+use crate::call::{CallOrigin, CallerKey, serve_call};
+use crate::once;
+use crate::traffic::TrafficState;
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{DefaultBodyLimit, Path, Query, Request, State};
+use axum::response::{IntoResponse, Json, Response};
+use axum::routing::{any, get, post};
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use model::wire::{
+    ADDRESSES_PATH, ATTEMPT_HEADER, AddressAnswer, CALL_PATH, CALLER_HEADER, DEADLINE_HEADER,
+    DEPTH_HEADER, IDEMPOTENCY_HEADER, INSTANCE_HEADER, QUEUE_HEADER, REQUEST_HEADER,
+    RETRY_AFTER_HEADER, SERVER_HEADER, TICKET_HEADER, TICKETS_PATH, TicketAnswer, VERDICT_HEADER,
+};
+use model::{CallDepth, CallerName, InstanceState, Millis, RunVerdict, ServiceName};
+use peer::{ForwardAnswer, ForwardCall};
+use serde::Deserialize;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest accepted text in a header of ours, in bytes.
+const HEADER_MAX_BYTES: usize = 512;
+/// How long the body of a request may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Who a call is from when it does not say.
+const ANONYMOUS: &str = "anonymous";
+
+type Shared = State<Arc<TrafficState>>;
+
+/// The routes of the callers' port.
+pub fn caller_routes(traffic: Arc<TrafficState>) -> Router {
+    Router::new()
+        .route(&format!("{ADDRESSES_PATH}/{{service}}"), get(addresses))
+        .route(&format!("{TICKETS_PATH}/{{name}}"), post(issue_tickets).get(ticket_state))
+        .route(&format!("{CALL_PATH}/{{service}}/{{*path}}"), any(call))
+        .layer(DefaultBodyLimit::disable())
+        .with_state(traffic)
+}
+
+async fn addresses(State(traffic): Shared, Path(service): Path<String>) -> Response {
+    let view = traffic.view.load_full();
+    let refuse = |refusal: CallRefusal| {
+        count_bad(&traffic, &refusal);
+        call_response(refusal.answer(&traffic.settings.name))
+    };
+    let Ok(service) = service.parse::<ServiceName>() else {
+        return refuse(CallRefusal::UnknownService);
+    };
+    let Some(config) = &view.config else {
+        return refuse(CallRefusal::NoConfig);
+    };
+    let Some(service_config) = config.services.get(&service) else {
+        return refuse(CallRefusal::UnknownService);
+    };
+    let homes = view.homes.get(&service).cloned().unwrap_or_default();
+    let names = homes.homes.iter().chain(&homes.standbys);
+    let mut addresses: Vec<SocketAddr> = names
+        .filter_map(|name| view.members.get(name))
+        .map(|member| member.record.caller_address)
+        .collect();
+    if addresses.is_empty() && view.this.state == InstanceState::Live {
+        addresses.push(view.this.caller_address);
+    }
+    Json(AddressAnswer {
+        service,
+        addresses,
+        keep_ms: service_config.keep,
+        version: config.version,
+    })
+    .into_response()
+}
+
+#[derive(Deserialize)]
+struct TicketCount {
+    count: Option<u32>,
+}
+
+async fn issue_tickets(
+    State(traffic): Shared,
+    Path(service): Path<String>,
+    Query(query): Query<TicketCount>,
+) -> Response {
+    let refuse = |refusal: CallRefusal| {
+        count_bad(&traffic, &refusal);
+        call_response(refusal.answer(&traffic.settings.name))
+    };
+    let known = |service: &ServiceName| traffic.service(service).is_some();
+    let Some(service) = service.parse::<ServiceName>().ok().filter(known) else {
+        return refuse(CallRefusal::UnknownService);
+    };
+    match once::issue_tickets(&traffic, &service, query.count.unwrap_or(1)).await {
+        None => refuse(CallRefusal::TableFull),
+        Some(batch) => {
+            let answer = TicketAnswer { service, tickets: batch.tickets, valid_ms: batch.valid };
+            Json(answer).into_response()
+        }
+    }
+}
+
+async fn ticket_state(State(traffic): Shared, Path(ticket): Path<SmolStr>) -> Response {
+    match once::ticket_state(&traffic, &ticket).await {
+        Ok(state) => Json(state).into_response(),
+        Err(refusal) => {
+            count_bad(&traffic, &refusal);
+            call_response(refusal.answer(&traffic.settings.name))
+        }
+    }
+}
+
+async fn call(
+    State(traffic): Shared,
+    Path((service, _)): Path<(String, String)>,
+    request: Request,
+) -> Response {
+    let read = match read_call(&traffic, &service, request).await {
+        Ok(read) => read,
+        Err(refusal) => {
+            count_bad(&traffic, &refusal);
+            return call_response(refusal.answer(&traffic.settings.name));
+        }
+    };
+    let answer = serve_call(&traffic, &read.call, CallOrigin::Caller, read.key).await;
+    call_response(answer)
+}
+
+fn count_bad(traffic: &TrafficState, refusal: &CallRefusal) {
+    traffic.metrics.bad_requests.with_label_values(&[refusal.label()]).inc();
+}
+
+struct ReadCall {
+    call: ForwardCall,
+    key: Option<CallerKey>,
+}
+
+async fn read_call(
+    traffic: &TrafficState,
+    service: &str,
+    request: Request,
+) -> Result<ReadCall, CallRefusal> {
+    let (parts, body) = request.into_parts();
+    let service: ServiceName = service.parse().map_err(|_| CallRefusal::UnknownService)?;
+    let headers = &parts.headers;
+    let deadline = match header_value::<Millis>(headers, DEADLINE_HEADER)? {
+        Some(Millis(0)) => return Err(bad_request("the deadline has passed")),
+        Some(deadline) => deadline,
+        None => default_deadline(traffic, &service)?,
+    };
+    let caller = match header_value::<CallerName>(headers, CALLER_HEADER)? {
+        Some(caller) => caller,
+        None => ANONYMOUS.parse().expect("the constant is a name"),
+    };
+    let request = header_value(headers, REQUEST_HEADER)?;
+    let key = header_value::<SmolStr>(headers, IDEMPOTENCY_HEADER)?;
+    let attempt = header_value::<u32>(headers, ATTEMPT_HEADER)?;
+    let path_and_query = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let call = ForwardCall {
+        request: request.unwrap_or_else(|| traffic.new_request()),
+        caller,
+        method: parts.method.as_str().into(),
+        path: backend_path(path_and_query, service.as_str()),
+        service,
+        content_type: header_value(headers, header::CONTENT_TYPE.as_str())?,
+        deadline,
+        depth: header_value(headers, DEPTH_HEADER)?.unwrap_or(CallDepth(0)),
+        ticket: header_value(headers, TICKET_HEADER)?,
+        body: read_body(traffic, body).await?,
+        clock: 0,
+    };
+    let key = key.map(|key| CallerKey { key, is_first: attempt == Some(1) });
+    Ok(ReadCall { call, key })
+}
+
+fn bad_request(cause: &str) -> CallRefusal {
+    CallRefusal::BadRequest(cause.into())
+}
+
+fn default_deadline(traffic: &TrafficState, service: &ServiceName) -> Result<Millis, CallRefusal> {
+    let view = traffic.view.load();
+    let config = view.config.as_ref().ok_or(CallRefusal::NoConfig)?;
+    let service = config.services.get(service).ok_or(CallRefusal::UnknownService)?;
+    Ok(service.deadline)
+}
+
+/// The path at the backend server: what follows the name of the service.
+fn backend_path(path: &str, service: &str) -> SmolStr {
+    let rest = path.strip_prefix(CALL_PATH).and_then(|rest| rest.strip_prefix('/'));
+    let rest = rest.and_then(|rest| rest.strip_prefix(service)).unwrap_or("/");
+    rest.into()
+}
+
+fn header_value<T: FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, CallRefusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().ok().filter(|text| text.len() <= HEADER_MAX_BYTES);
+    match text.and_then(|text| text.parse().ok()) {
+        Some(value) => Ok(Some(value)),
+        None => Err(CallRefusal::BadRequest(format_smolstr!("bad value in header {name}"))),
+    }
+}
+
+async fn read_body(traffic: &TrafficState, body: Body) -> Result<Bytes, CallRefusal> {
+    let limit = usize::try_from(traffic.settings.body_limit.0).unwrap_or(usize::MAX);
+    let reading = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
+    match reading.await {
+        Err(_) => Err(bad_request("the body did not arrive in time")),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(CallRefusal::BodyTooLong),
+        Ok(Err(_)) => Err(bad_request("the body was cut off")),
+    }
+}
+
+/// Turns an answer into HTTP.
+fn call_response(answer: ForwardAnswer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::builder()
+        .status(status)
+        .header(VERDICT_HEADER, answer.verdict.as_str())
+        .header(INSTANCE_HEADER, answer.instance.as_str())
+        .header(QUEUE_HEADER, answer.queue_micros);
+    if let Some(content_type) = &answer.content_type {
+        builder = builder.header(header::CONTENT_TYPE, content_type.as_str());
+    }
+    if !answer.server.is_empty() {
+        builder = builder.header(SERVER_HEADER, answer.server.as_str());
+    }
+    if let Some(retry_after) = answer.retry_after {
+        builder = builder.header(RETRY_AFTER_HEADER, retry_after.to_smolstr().as_str());
+    }
+    let instance = answer.instance.clone();
+    builder.body(Body::from(answer.body)).unwrap_or_else(|_| {
+        // The backend server's status or content type cannot be passed on.
+        debug_assert_eq!(answer.verdict, RunVerdict::Ran);
+        call_response(lost_answer(&instance))
+    })
+}
--- /dev/null
+++ b/crates/entry/src/instance.rs
@@ -0,0 +1,175 @@
+//! Starts and stops an entry instance: one thread for control, others for traffic.
+
+use crate::caller_port::caller_routes;
+use crate::control_thread::{ControlShell, own_record};
+use crate::operator_port::{OperatorState, operator_routes};
+use crate::peer_port::EntryPeer;
+use crate::traffic::TrafficState;
+use anyhow::{Context, Result};
+use control::{ControlEvent, ControlSettings, ControlState};
+use link::{HttpServer, serve_http};
+use model::{IncarnationId, InstanceState};
+use peer::{PeerClients, TokenProof, accept_peers};
+use platform::{HttpStore, PlatformStore};
+use settings::DaemonSettings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::{mpsc, watch};
+
+/// Time between looks at queues whose slots come free by time alone.
+const ADVANCE_SPAN: Duration = Duration::from_millis(2);
+/// Time between looks at the work still in progress during a stop.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// How long open connections may take to close, at the least.
+const CLOSE_SPAN: Duration = Duration::from_millis(200);
+/// How long an instance goes on after it told the others that it leaves, at the least.
+const LEAVE_SPAN: Duration = Duration::from_secs(2);
+
+/// A running entry instance.
+pub struct EntryInstance {
+    traffic: Arc<TrafficState>,
+    runtime: Runtime,
+    control: std::thread::JoinHandle<()>,
+    stop: watch::Sender<bool>,
+    servers: Vec<HttpServer>,
+}
+
+impl EntryInstance {
+    /// Binds the ports and starts all threads.
+    ///
+    /// # Errors
+    /// A port that cannot be bound or a thread that cannot be started.
+    pub fn start(settings: DaemonSettings) -> Result<Self> {
+        let store = HttpStore::new(settings.platform_address, settings.platform_timeout.span());
+        Self::start_with_store(settings, Arc::new(store))
+    }
+
+    /// Like [`start`](Self::start), with another way to reach the platform.
+    ///
+    /// # Errors
+    /// A port that cannot be bound or a thread that cannot be started.
+    pub fn start_with_store(
+        settings: DaemonSettings,
+        store: Arc<dyn PlatformStore>,
+    ) -> Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .context("starting the traffic threads")?;
+        let callers = bind(&runtime, settings.caller_address, "caller_address")?;
+        let operators = bind(&runtime, settings.operator_address, "operator_address")?;
+        let peers = bind(&runtime, settings.peer_address, "peer_address")?;
+        let proof = TokenProof::of_token(&settings.token);
+        let record = own_record(&settings, new_incarnation());
+        let control_settings =
+            ControlSettings { seeds: settings.seeds.clone(), ..ControlSettings::default() };
+        let state = ControlState::new(control_settings, record);
+        let (events, event_receiver) = mpsc::unbounded_channel();
+        let clients = PeerClients::new(proof.clone());
+        let traffic = Arc::new(TrafficState::new(settings, state.view(), clients, events));
+        let (digest, digest_receiver) = watch::channel(state.digest(traffic.clock.now()));
+        let (stop, stop_receiver) = watch::channel(false);
+        let shell = ControlShell::new(
+            Arc::clone(&traffic),
+            Arc::clone(&store),
+            state,
+            event_receiver,
+            digest,
+        );
+        let control = std::thread::Builder::new()
+            .name("control".into())
+            .spawn(move || run_control(shell, stop_receiver))
+            .context("starting the control thread")?;
+        let handler = Arc::new(EntryPeer::new(Arc::clone(&traffic), digest_receiver));
+        runtime.spawn(accept_peers(peers, proof, handler));
+        runtime.spawn(advance_queues(Arc::clone(&traffic)));
+        let operator_state = Arc::new(OperatorState { traffic: Arc::clone(&traffic), store });
+        let servers = vec![
+            serve_http(runtime.handle(), callers, caller_routes(Arc::clone(&traffic))),
+            serve_http(runtime.handle(), operators, operator_routes(operator_state)),
+        ];
+        Ok(Self { traffic, runtime, control, stop, servers })
+    }
+
+    /// The state that the traffic threads share.
+    pub fn traffic(&self) -> &Arc<TrafficState> {
+        &self.traffic
+    }
+
+    /// Whether the instance is leaving, for instance because an operator drains it.
+    pub fn is_leaving(&self) -> bool {
+        self.traffic.view.load().this.state == InstanceState::Leaving
+    }
+
+    /// Stops without cutting off work: leaves the address answers first, waits until callers have
+    /// dropped the old answers and the work in progress has ended, then ends all threads.
+    ///
+    /// Gives the number of calls that were still in progress at the stop limit.
+    pub fn close(self) -> i64 {
+        let limit = Instant::now() + self.traffic.settings.stop_limit.span();
+        self.traffic.notify(ControlEvent::StopRequested);
+        let keep_until = Instant::now() + self.keep_span().max(LEAVE_SPAN);
+        while Instant::now() < keep_until.min(limit) {
+            std::thread::sleep(DRAIN_POLL);
+        }
+        while self.in_progress() > 0 && Instant::now() < limit {
+            std::thread::sleep(DRAIN_POLL);
+        }
+        let left = self.in_progress();
+        let close_by = limit.max(Instant::now() + CLOSE_SPAN);
+        for server in self.servers {
+            self.runtime.block_on(server.close(close_by));
+        }
+        let _ = self.stop.send(true);
+        // A panic of the control thread was logged when it happened.
+        let _ = self.control.join();
+        self.runtime.shutdown_timeout(Duration::from_millis(200));
+        left
+    }
+
+    fn in_progress(&self) -> i64 {
+        let running = crate::traffic::lock(&self.traffic.running).len();
+        self.traffic.metrics.in_progress.get() + i64::try_from(running).unwrap_or(i64::MAX)
+    }
+
+    /// The longest time for which a caller may keep an address answer.
+    fn keep_span(&self) -> Duration {
+        let view = self.traffic.view.load();
+        let services = view.config.iter().flat_map(|config| config.services.values());
+        services.map(|service| service.keep.span()).max().unwrap_or_default()
+    }
+}
+
+fn bind(runtime: &Runtime, address: SocketAddr, key: &str) -> Result<TcpListener> {
+    runtime.block_on(TcpListener::bind(address)).with_context(|| format!("binding {key} {address}"))
+}
+
+/// Microseconds since the epoch, so that a later run of an instance has a greater one.
+fn new_incarnation() -> IncarnationId {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    IncarnationId(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+}
+
+fn run_control(shell: ControlShell, stop: watch::Receiver<bool>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(shell.run(stop)),
+        Err(cause) => log::error!(cause:% = cause; "control thread cannot start"),
+    }
+}
+
+async fn advance_queues(traffic: Arc<TrafficState>) {
+    let mut ticks = tokio::time::interval(ADVANCE_SPAN);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for service in traffic.services().values() {
+            service.advance();
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator_port.rs
@@ -0,0 +1,159 @@
+//! The port for operators: commands, the time line of this process, metrics.
+
+use crate::report::answer_query;
+use crate::traffic::TrafficState;
+use axum::Router;
+use axum::extract::{Query, Request, State};
+use axum::middleware::{Next, from_fn_with_state};
+use axum::response::{IntoResponse, Json, Response};
+use axum::routing::{get, post};
+use change::{ChangeOutcome, accept_change};
+use command::{BatchKind, ChangeBatch, QueryStatement, parse_batch};
+use control::ControlEvent;
+use http::{HeaderMap, StatusCode, header};
+use model::operator::{CHANGE_HEADER, COMMANDS_PATH, CommandAnswer, METRICS_PATH, TIMELINE_PATH};
+use model::{ChangeId, ConfigVersion, InstanceName};
+use platform::PlatformStore;
+use serde::Deserialize;
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use timeline::{HybridTime, TimelineQuery};
+
+/// How long a change is tried at the store.
+const ACCEPT_SPAN: Duration = Duration::from_secs(5);
+/// How long an accepted change may take to come into force everywhere.
+pub const FORCE_SPAN: Duration = Duration::from_secs(6);
+/// Time between looks at the versions of the other instances.
+const FORCE_POLL: Duration = Duration::from_millis(20);
+
+/// What the operators' port works with.
+pub struct OperatorState {
+    /// The instance.
+    pub traffic: Arc<TrafficState>,
+    /// The platform, which takes the changes.
+    pub store: Arc<dyn PlatformStore>,
+}
+
+type Shared = State<Arc<OperatorState>>;
+
+/// The routes of the operators' port. All but the metrics need the token.
+pub fn operator_routes(state: Arc<OperatorState>) -> Router {
+    Router::new()
+        .route(COMMANDS_PATH, post(commands))
+        .route(TIMELINE_PATH, get(timeline))
+        .route_layer(from_fn_with_state(Arc::clone(&state), check_token))
+        .route(METRICS_PATH, get(metrics))
+        .with_state(state)
+}
+
+async fn check_token(State(state): Shared, request: Request, next: Next) -> Response {
+    let shown = request.headers().get(header::AUTHORIZATION);
+    let shown = shown.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    let expected = blake3::hash(state.traffic.settings.token.as_bytes());
+    // The hash type compares in constant time.
+    if shown.is_some_and(|shown| blake3::hash(shown) == expected) {
+        return next.run(request).await;
+    }
+    state.traffic.metrics.token_refusals.with_label_values(&["operator"]).inc();
+    (StatusCode::UNAUTHORIZED, "expected the header authorization: Bearer TOKEN\n").into_response()
+}
+
+async fn metrics(State(state): Shared) -> String {
+    state.traffic.metrics.text()
+}
+
+#[derive(Deserialize)]
+struct TimelineParams {
+    request: Option<SmolStr>,
+    since_us: Option<u64>,
+    until_us: Option<u64>,
+    limit: Option<usize>,
+}
+
+async fn timeline(State(state): Shared, Query(params): Query<TimelineParams>) -> Response {
+    let request = match params.request.map(|request| request.parse()).transpose() {
+        Ok(request) => request,
+        Err(cause) => {
+            return (StatusCode::BAD_REQUEST, format!("request: {cause}\n")).into_response();
+        }
+    };
+    let query = TimelineQuery {
+        request,
+        since: params.since_us.map(HybridTime::from_micros),
+        until: params.until_us.map(HybridTime::from_micros),
+        limit: params.limit,
+    };
+    Json(state.traffic.ring.select(&query)).into_response()
+}
+
+async fn commands(State(state): Shared, headers: HeaderMap, text: String) -> Response {
+    let answer = match parse_batch(&text) {
+        Err(cause) => CommandAnswer::Invalid { error: cause.to_smolstr() },
+        Ok(BatchKind::Queries(queries)) => report(&state, &queries),
+        Ok(BatchKind::Changes(batch)) => match change_id(&headers) {
+            Err(error) => CommandAnswer::Invalid { error },
+            Ok(id) => change_config(&state, &batch, id).await,
+        },
+    };
+    let status = match &answer {
+        CommandAnswer::Report { .. } | CommandAnswer::InForceEverywhere { .. } => StatusCode::OK,
+        CommandAnswer::Accepted { .. } => StatusCode::ACCEPTED,
+        CommandAnswer::Invalid { .. } => StatusCode::BAD_REQUEST,
+        CommandAnswer::NotAccepted { .. } => StatusCode::CONFLICT,
+        CommandAnswer::Undetermined { .. } => StatusCode::GATEWAY_TIMEOUT,
+    };
+    (status, Json(answer)).into_response()
+}
+
+fn report(state: &OperatorState, queries: &[QueryStatement]) -> CommandAnswer {
+    let answers = queries.iter().map(|query| answer_query(&state.traffic, query));
+    match answers.collect() {
+        Ok(tables) => CommandAnswer::Report { tables },
+        Err(error) => CommandAnswer::Invalid { error },
+    }
+}
+
+fn change_id(headers: &HeaderMap) -> Result<ChangeId, SmolStr> {
+    let Some(value) = headers.get(CHANGE_HEADER) else {
+        let text = format_smolstr!("{:016x}", rand::random::<u64>());
+        return text.parse().map_err(|_| "no id could be made".into());
+    };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    parsed.ok_or_else(|| format_smolstr!("bad value in header {CHANGE_HEADER}"))
+}
+
+async fn change_config(state: &OperatorState, batch: &ChangeBatch, id: ChangeId) -> CommandAnswer {
+    let view = state.traffic.view.load_full();
+    let find = |name: &InstanceName| view.live_record(name).map(|record| record.incarnation);
+    let deadline = Instant::now() + ACCEPT_SPAN;
+    match accept_change(state.store.as_ref(), batch, &id, find, deadline).await {
+        ChangeOutcome::NotAccepted(cause) => {
+            CommandAnswer::NotAccepted { id, error: cause.to_smolstr() }
+        }
+        ChangeOutcome::Undetermined(error) => CommandAnswer::Undetermined { id, error },
+        ChangeOutcome::Accepted { revision, document } => {
+            let version = document.version_of(&id).unwrap_or(document.version);
+            state.traffic.notify(ControlEvent::ConfigAccepted { revision, document });
+            let unconfirmed = wait_in_force(state, version).await;
+            if unconfirmed.is_empty() {
+                return CommandAnswer::InForceEverywhere { id, version };
+            }
+            CommandAnswer::Accepted { id, version, unconfirmed }
+        }
+    }
+}
+
+/// Waits until all members have the version; gives those that do not in time.
+async fn wait_in_force(state: &OperatorState, version: ConfigVersion) -> Vec<InstanceName> {
+    let deadline = Instant::now() + FORCE_SPAN;
+    loop {
+        let view = state.traffic.view.load_full();
+        let lacking = view.members.values().filter(|member| member.version < version);
+        let lacking: Vec<InstanceName> = lacking.map(|member| member.record.name.clone()).collect();
+        if lacking.is_empty() || Instant::now() >= deadline {
+            return lacking;
+        }
+        tokio::time::sleep(FORCE_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer_port.rs
@@ -0,0 +1,67 @@
+//! What this instance does for the others.
+
+use crate::call::{CallOrigin, serve_call};
+use crate::once;
+use crate::traffic::TrafficState;
+use control::{ControlEvent, FleetView};
+use futures::future::BoxFuture;
+use model::{ConfigDocument, FleetDigest, InstanceName, InstanceRecord, ServiceName};
+use peer::{ConfigCopy, ForwardAnswer, ForwardCall, PeerHandler, TicketBatch, TicketInquiry};
+use smol_str::SmolStr;
+use std::sync::Arc;
+use timeline::HybridTime;
+use tokio::sync::watch;
+
+/// Serves the calls of other instances.
+pub struct EntryPeer {
+    traffic: Arc<TrafficState>,
+    digest: watch::Receiver<FleetDigest>,
+}
+
+impl EntryPeer {
+    /// Answers heartbeats with the latest digest of the control thread.
+    pub fn new(traffic: Arc<TrafficState>, digest: watch::Receiver<FleetDigest>) -> Self {
+        Self { traffic, digest }
+    }
+}
+
+impl PeerHandler for EntryPeer {
+    fn heartbeat(&self, digest: FleetDigest) -> BoxFuture<'_, FleetDigest> {
+        self.traffic.ring.clock().observe(HybridTime(digest.clock));
+        self.traffic.notify(ControlEvent::DigestReceived(digest));
+        let mut answer = self.digest.borrow().clone();
+        answer.clock = self.traffic.ring.clock().now().0;
+        Box::pin(async move { answer })
+    }
+
+    fn describe(&self, names: Vec<InstanceName>) -> Vec<InstanceRecord> {
+        let view = self.traffic.view.load();
+        let record = |name: &InstanceName| view.members.get(name).map(|m| m.record.clone());
+        names.iter().filter_map(record).collect()
+    }
+
+    fn fetch_config(&self) -> Option<ConfigCopy> {
+        config_copy(&self.traffic.view.load())
+    }
+
+    fn forward(&self, call: ForwardCall) -> BoxFuture<'_, ForwardAnswer> {
+        Box::pin(async move { serve_call(&self.traffic, &call, CallOrigin::Peer, None).await })
+    }
+
+    fn issue_tickets(&self, service: ServiceName, count: u32) -> Option<TicketBatch> {
+        once::issue_own(&self.traffic, &service, count)
+    }
+
+    fn ticket_state(&self, ticket: SmolStr) -> TicketInquiry {
+        once::own_state(&self.traffic, &ticket)
+    }
+
+    fn record_refused(&self) {
+        self.traffic.metrics.token_refusals.with_label_values(&["peer"]).inc();
+    }
+}
+
+fn config_copy(view: &FleetView) -> Option<ConfigCopy> {
+    let document = view.config.as_ref()?;
+    Some(ConfigCopy { revision: view.revision, document: ConfigDocument::clone(document) })
+}
--- /dev/null
+++ b/crates/link/src/pool.rs
@@ -0,0 +1,275 @@
+//! Pools of HTTP/1.1 connections by address.
+
+use crate::error::LinkError;
+use bytes::Bytes;
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Which connections an exchange may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// Any idle connection.
+    Pooled,
+    /// Only a connection that carried an answer within [`RECENT_SPAN`], else a new one. For
+    /// requests that must not repeat: an older one may have gone silent.
+    Recent,
+}
+
+/// How long after an answer a connection counts as recently used.
+pub const RECENT_SPAN: Duration = Duration::from_secs(1);
+
+/// Builds a [`LinkPool`].
+#[derive(Debug, Clone)]
+pub struct LinkPoolBuilder {
+    connect_timeout: Duration,
+    idle_span: Duration,
+    answer_limit: usize,
+    connection_limit: usize,
+}
+
+impl Default for LinkPoolBuilder {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(250),
+            idle_span: Duration::from_secs(10),
+            answer_limit: 4 * 1024 * 1024,
+            connection_limit: 240,
+        }
+    }
+}
+
+impl LinkPoolBuilder {
+    /// Sets how long a connection may take to open.
+    pub fn connect_timeout(mut self, timeout: Duration) -> Self {
+        self.connect_timeout = timeout;
+        self
+    }
+
+    /// Sets how long an idle connection is kept.
+    pub fn idle_span(mut self, span: Duration) -> Self {
+        self.idle_span = span;
+        self
+    }
+
+    /// Sets the longest accepted answer body, in bytes.
+    pub fn answer_limit(mut self, limit: usize) -> Self {
+        self.answer_limit = limit;
+        self
+    }
+
+    /// Sets how many connections to one address may be open.
+    pub fn connection_limit(mut self, limit: usize) -> Self {
+        self.connection_limit = limit;
+        self
+    }
+
+    /// Finishes the pool.
+    pub fn build(self) -> LinkPool {
+        LinkPool { settings: self, addresses: Arc::default() }
+    }
+}
+
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    last_answer: Instant,
+}
+
+#[derive(Default)]
+struct AddressPool {
+    idle: Vec<IdleConnection>,
+    open: usize,
+    /// Connections opened before this instant are not reused.
+    suspect_before: Option<Instant>,
+}
+
+type AddressMap = HashMap<SocketAddr, AddressPool>;
+
+/// Pools of connections by address.
+#[derive(Clone)]
+pub struct LinkPool {
+    settings: LinkPoolBuilder,
+    addresses: Arc<Mutex<AddressMap>>,
+}
+
+/// Counts an open connection until it is dropped.
+struct OpenGuard {
+    addresses: Arc<Mutex<AddressMap>>,
+    address: SocketAddr,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let mut addresses = lock(&self.addresses);
+        if let Some(pool) = addresses.get_mut(&self.address) {
+            pool.open = pool.open.saturating_sub(1);
+        }
+    }
+}
+
+fn lock(addresses: &Mutex<AddressMap>) -> MutexGuard<'_, AddressMap> {
+    addresses.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl LinkPool {
+    /// Sends `request` to `address` and reads the whole answer before `deadline`.
+    ///
+    /// # Errors
+    /// [`LinkError`], whose [`proof`](LinkError::proof) says whether the request may have arrived.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        choice: ConnectionChoice,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let started = Instant::now();
+        let mut request = request;
+        loop {
+            let mut sender = match self.take_idle(address, choice) {
+                Some(sender) => sender,
+                None => self.open(address, deadline).await?,
+            };
+            let sent = sender.try_send_request(request);
+            let response = match tokio::time::timeout_at(deadline.into(), sent).await {
+                Err(_) => {
+                    self.suspect(address, started);
+                    return Err(LinkError::AnswerTimeout);
+                }
+                Ok(Err(mut failure)) => match failure.take_message() {
+                    // The connection closed while idle: the request comes back unsent.
+                    Some(unsent) => {
+                        request = unsent;
+                        continue;
+                    }
+                    None => return Err(LinkError::Broken(failure.into_error())),
+                },
+                Ok(Ok(response)) => response,
+            };
+            return self.read_answer(address, sender, response, started, deadline).await;
+        }
+    }
+
+    async fn read_answer(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        response: Response<Incoming>,
+        started: Instant,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let (parts, body) = response.into_parts();
+        let framed = body.size_hint().exact().is_some()
+            || parts.headers.contains_key(header::TRANSFER_ENCODING);
+        if !framed {
+            return Err(LinkError::AnswerUnframed);
+        }
+        let limited = Limited::new(body, self.settings.answer_limit).collect();
+        let body = match tokio::time::timeout_at(deadline.into(), limited).await {
+            Err(_) => {
+                self.suspect(address, started);
+                return Err(LinkError::AnswerTimeout);
+            }
+            Ok(Err(cause)) => return Err(body_error(cause)),
+            Ok(Ok(collected)) => collected.to_bytes(),
+        };
+        self.keep_idle(address, sender, started);
+        Ok(Response::from_parts(parts, body))
+    }
+
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Option<SendRequest<Full<Bytes>>> {
+        let span = match choice {
+            ConnectionChoice::Pooled => self.settings.idle_span,
+            ConnectionChoice::Recent => RECENT_SPAN.min(self.settings.idle_span),
+        };
+        let mut addresses = lock(&self.addresses);
+        let pool = addresses.get_mut(&address)?;
+        let suspect_before = pool.suspect_before;
+        pool.idle.retain(|idle| {
+            !idle.sender.is_closed()
+                && idle.last_answer.elapsed() < self.settings.idle_span
+                && suspect_before.is_none_or(|at| idle.last_answer > at)
+        });
+        let is_usable =
+            |idle: &IdleConnection| idle.last_answer.elapsed() < span && idle.sender.is_ready();
+        let newest = pool.idle.iter().rposition(is_usable)?;
+        Some(pool.idle.remove(newest).sender)
+    }
+
+    fn keep_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, started: Instant) {
+        let mut addresses = lock(&self.addresses);
+        let pool = addresses.entry(address).or_default();
+        let suspected = pool.suspect_before.is_some_and(|at| started < at);
+        if sender.is_closed() || suspected {
+            return;
+        }
+        pool.idle.push(IdleConnection { sender, last_answer: Instant::now() });
+    }
+
+    /// Stops reuse of the connections whose last answer came before `started`, since one that
+    /// carried a request after that went silent.
+    fn suspect(&self, address: SocketAddr, started: Instant) {
+        let mut addresses = lock(&self.addresses);
+        let pool = addresses.entry(address).or_default();
+        pool.suspect_before = pool.suspect_before.max(Some(started));
+        pool.idle.retain(|idle| idle.last_answer > started);
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<SendRequest<Full<Bytes>>, LinkError> {
+        let guard = self.count_open(address)?;
+        let connect_by = deadline.min(Instant::now() + self.settings.connect_timeout);
+        let opening = tokio::time::timeout_at(connect_by.into(), TcpStream::connect(address));
+        let stream = match opening.await {
+            Err(_) => return Err(LinkError::ConnectTimeout),
+            Ok(Err(cause)) => return Err(LinkError::Connect(cause)),
+            Ok(Ok(stream)) => stream,
+        };
+        stream.set_nodelay(true).map_err(LinkError::Connect)?;
+        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| LinkError::ClosedBefore)?;
+        tokio::spawn(async move {
+            // The exchange reports its own error; the connection's end only frees its place.
+            let _ = connection.await;
+            drop(guard);
+        });
+        Ok(sender)
+    }
+
+    fn count_open(&self, address: SocketAddr) -> Result<OpenGuard, LinkError> {
+        let mut addresses = lock(&self.addresses);
+        let pool = addresses.entry(address).or_default();
+        if pool.open >= self.settings.connection_limit {
+            return Err(LinkError::ConnectionLimit);
+        }
+        pool.open += 1;
+        Ok(OpenGuard { addresses: Arc::clone(&self.addresses), address })
+    }
+
+    /// Closes all idle connections.
+    pub fn close(self) {
+        lock(&self.addresses).clear();
+    }
+}
+
+fn body_error(cause: Box<dyn std::error::Error + Send + Sync>) -> LinkError {
+    match cause.downcast::<hyper::Error>() {
+        Ok(cause) => LinkError::Broken(*cause),
+        Err(cause) if cause.is::<LengthLimitError>() => LinkError::AnswerTooLong,
+        Err(_) => LinkError::AnswerUnframed,
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,28 @@
+//! Vocabulary shared by all crates: typed names, sizes and rates, the configuration document,
+//! the verdict on a request and the headers that callers and instances exchange.
+//!
+//! This crate does no I/O and knows no library but serde and smol_str.
+
+pub mod document;
+pub mod fleet;
+pub mod name;
+pub mod operator;
+pub mod quantity;
+pub mod time;
+pub mod verdict;
+pub mod wire;
+
+pub use document::{
+    BackendServer, ConfigDocument, RouteRule, ServerBuilder, ServiceConfig, WorkClass,
+};
+pub use fleet::{DigestLine, FleetDigest, InstanceRecord, InstanceState, Leaving};
+pub use name::{
+    CallerName, ChangeId, DataCentre, InstanceName, ParseNameError, RequestId, RoutePrefix,
+    ServerName, ServiceName,
+};
+pub use quantity::{
+    ByteCount, CallDepth, ConfigVersion, ConnectionCount, HomeCount, IncarnationId, Millis,
+    ProbeRate, SlotCount, StoreRevision,
+};
+pub use time::{MonoTime, ProcessClock};
+pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,138 @@
+//! The accepting side.
+
+use crate::message::{
+    ConfigCopy, ForwardAnswer, ForwardCall, PeerLink, TicketBatch, TicketInquiry,
+};
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use model::{FleetDigest, InstanceName, InstanceRecord, ServiceName};
+use smol_str::SmolStr;
+use std::sync::Arc;
+use std::time::Duration;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel, Config};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_serde::formats::Bincode;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Bytes of the proof at the start of a connection.
+const PROOF_BYTES: usize = 32;
+/// How long a connection may take to give its proof.
+const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest message, in bytes.
+pub(crate) const FRAME_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Proves knowledge of the token that all instances share.
+#[derive(Clone)]
+pub struct TokenProof([u8; PROOF_BYTES]);
+
+impl TokenProof {
+    /// Derives the proof from the token.
+    pub fn of_token(token: &SmolStr) -> Self {
+        Self(blake3::derive_key("lacewingshelf peer token", token.as_bytes()))
+    }
+
+    pub(crate) async fn send(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        stream.write_all(&self.0).await
+    }
+
+    async fn check(&self, stream: &mut TcpStream) -> bool {
+        let mut shown = [0; PROOF_BYTES];
+        let reading = tokio::time::timeout(PROOF_TIMEOUT, stream.read_exact(&mut shown));
+        // The hash type compares in constant time.
+        matches!(reading.await, Ok(Ok(_)))
+            && blake3::Hash::from(shown) == blake3::Hash::from(self.0)
+    }
+}
+
+/// What an instance does for the others.
+pub trait PeerHandler: Send + Sync {
+    /// Exchanges digests.
+    fn heartbeat(&self, digest: FleetDigest) -> BoxFuture<'_, FleetDigest>;
+    /// Gives the records of instances by name.
+    fn describe(&self, names: Vec<InstanceName>) -> Vec<InstanceRecord>;
+    /// Gives the configuration in force.
+    fn fetch_config(&self) -> Option<ConfigCopy>;
+    /// Serves a call.
+    fn forward(&self, call: ForwardCall) -> BoxFuture<'_, ForwardAnswer>;
+    /// Issues tickets; none if there is no room.
+    fn issue_tickets(&self, service: ServiceName, count: u32) -> Option<TicketBatch>;
+    /// Tells how a ticket stands.
+    fn ticket_state(&self, ticket: SmolStr) -> TicketInquiry;
+    /// Counts a connection whose proof of the token was wrong.
+    fn record_refused(&self);
+}
+
+/// Passes the calls of a connection to the handler.
+#[derive(Clone)]
+struct LinkServer {
+    handler: Arc<dyn PeerHandler>,
+}
+
+impl PeerLink for LinkServer {
+    async fn heartbeat(self, _: Context, digest: FleetDigest) -> FleetDigest {
+        self.handler.heartbeat(digest).await
+    }
+
+    async fn describe(self, _: Context, names: Vec<InstanceName>) -> Vec<InstanceRecord> {
+        self.handler.describe(names)
+    }
+
+    async fn fetch_config(self, _: Context) -> Option<ConfigCopy> {
+        self.handler.fetch_config()
+    }
+
+    async fn forward(self, _: Context, call: ForwardCall) -> ForwardAnswer {
+        self.handler.forward(call).await
+    }
+
+    async fn issue_tickets(
+        self,
+        _: Context,
+        service: ServiceName,
+        count: u32,
+    ) -> Option<TicketBatch> {
+        self.handler.issue_tickets(service, count)
+    }
+
+    async fn ticket_state(self, _: Context, ticket: SmolStr) -> TicketInquiry {
+        self.handler.ticket_state(ticket)
+    }
+}
+
+/// Serves other instances until the task is dropped.
+pub async fn accept_peers(listener: TcpListener, proof: TokenProof, handler: Arc<dyn PeerHandler>) {
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let proof = proof.clone();
+        let server = LinkServer { handler: Arc::clone(&handler) };
+        tokio::spawn(async move {
+            if !proof.check(&mut stream).await {
+                server.handler.record_refused();
+                return;
+            }
+            let _ = stream.set_nodelay(true);
+            serve_stream(stream, server).await;
+        });
+    }
+}
+
+async fn serve_stream(stream: TcpStream, server: LinkServer) {
+    let mut codec = LengthDelimitedCodec::new();
+    codec.set_max_frame_length(FRAME_MAX_BYTES);
+    let framed = tokio_util::codec::Framed::new(stream, codec);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let config = Config { pending_response_buffer: 1_024 };
+    let requests = BaseChannel::new(config, transport).execute(server.serve());
+    requests
+        .for_each(|request| async {
+            tokio::spawn(request);
+        })
+        .await;
+}
