Run the thin whole path: five programs, a demo in one process, first tests

The demo creates a service by an operator's command, serves lookups and bookings through three entry instances, drains a backend server and stops the home of the service on the way.

--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,418 @@
+//! A thin library for callers: asks for addresses, keeps them, fails over, and uses tickets for
+//! work that must not repeat.
+
+use bytes::Bytes;
+use http::{Method, Request, Response, header};
+use http_body_util::Full;
+use link::{ConnectionChoice, LinkError, LinkPool, LinkPoolBuilder, SendProof};
+use model::wire::{
+    ADDRESSES_PATH, AddressAnswer, CALL_PATH, CALLER_HEADER, DEADLINE_HEADER, INSTANCE_HEADER,
+    QUEUE_HEADER, REQUEST_HEADER, SERVER_HEADER, TICKET_HEADER, TICKETS_PATH, TicketAnswer,
+    TicketState, VERDICT_HEADER,
+};
+use model::{CallerName, RunVerdict, ServiceName};
+use smol_str::{SmolStr, ToSmolStr, format_smolstr};
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How long one instance may take to answer a question about addresses or tickets.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Share of the time left that an instance may take for a lookup before the next one is tried.
+const FIRST_TRY_SHARE: f64 = 0.5;
+/// Tickets taken at once.
+const TICKET_BATCH: u32 = 8;
+/// Tickets are not used in the last part of their validity.
+const TICKET_MARGIN: Duration = Duration::from_secs(5);
+/// Pause between tries at a call that must reach its owner.
+const TRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// How a call ended.
+#[derive(Debug, Clone)]
+pub struct CallReport {
+    /// Whether the request may have run.
+    pub verdict: RunVerdict,
+    /// HTTP status, or zero if no instance answered.
+    pub status: u16,
+    /// The body.
+    pub body: Bytes,
+    /// The instance that answered.
+    pub instance: SmolStr,
+    /// The backend server that answered.
+    pub server: SmolStr,
+    /// Wait before a slot, as the instance measured it.
+    pub queue: Duration,
+    /// Time from the start of the call to its end.
+    pub elapsed: Duration,
+    /// Tries at instances.
+    pub tries: u32,
+    /// The ticket, for work that must not repeat.
+    pub ticket: Option<SmolStr>,
+}
+
+/// No instance could be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoInstanceError;
+
+impl fmt::Display for NoInstanceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no instance answers")
+    }
+}
+
+impl std::error::Error for NoInstanceError {}
+
+struct KeptAddresses {
+    addresses: Vec<SocketAddr>,
+    until: Instant,
+}
+
+struct KeptTicket {
+    ticket: SmolStr,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct KeptAnswers {
+    addresses: HashMap<ServiceName, KeptAddresses>,
+    tickets: HashMap<ServiceName, Vec<KeptTicket>>,
+    /// Instances that did not answer a moment ago go last.
+    failed: HashMap<SocketAddr, Instant>,
+}
+
+/// How long an instance that did not answer is tried last.
+const FAILED_SPAN: Duration = Duration::from_secs(2);
+
+/// Calls services on behalf of one caller.
+pub struct CallerClient {
+    name: CallerName,
+    bootstrap: Vec<SocketAddr>,
+    pool: LinkPool,
+    kept: Mutex<KeptAnswers>,
+}
+
+struct CallParts<'a> {
+    service: &'a ServiceName,
+    method: Method,
+    path: &'a str,
+    body: Bytes,
+    request: Option<SmolStr>,
+    ticket: Option<SmolStr>,
+}
+
+impl CallerClient {
+    /// Asks the instances at `bootstrap` for addresses.
+    pub fn new(name: CallerName, bootstrap: Vec<SocketAddr>) -> Self {
+        let pool = LinkPoolBuilder::default().connection_limit(1_024).build();
+        Self { name, bootstrap, pool, kept: Mutex::default() }
+    }
+
+    /// Sends idempotent work; another instance is tried when one does not answer.
+    pub async fn lookup(
+        &self,
+        service: &ServiceName,
+        path: &str,
+        request: Option<SmolStr>,
+        allowed: Duration,
+    ) -> CallReport {
+        let body = Bytes::new();
+        let parts = CallParts { service, method: Method::GET, path, body, request, ticket: None };
+        let started = Instant::now();
+        let deadline = started + allowed;
+        let mut progress = CallProgress::new(started);
+        while Instant::now() < deadline {
+            for address in self.addresses(service).await {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let until = Instant::now() + left.mul_f64(FIRST_TRY_SHARE);
+                match self.try_call(&parts, address, deadline, until, &mut progress).await {
+                    Ok(answer) => return progress.answered(&answer, None),
+                    Err(_) if Instant::now() >= deadline => break,
+                    Err(_) => {}
+                }
+            }
+            self.forget_addresses(service);
+            tokio::time::sleep(TRY_PAUSE).await;
+        }
+        progress.unanswered(None)
+    }
+
+    /// Sends work that must not repeat, under a ticket.
+    ///
+    /// The same ticket goes to further instances when one does not answer; only its owner runs it.
+    pub async fn book(
+        &self,
+        service: &ServiceName,
+        path: &str,
+        body: Bytes,
+        allowed: Duration,
+    ) -> CallReport {
+        let started = Instant::now();
+        let deadline = started + allowed;
+        let mut progress = CallProgress::new(started);
+        while Instant::now() < deadline {
+            let Some(ticket) = self.take_ticket(service).await else {
+                tokio::time::sleep(TRY_PAUSE).await;
+                continue;
+            };
+            let parts = CallParts {
+                service,
+                method: Method::POST,
+                path,
+                body: body.clone(),
+                request: None,
+                ticket: Some(ticket.clone()),
+            };
+            if let Some(answer) = self.try_ticket(&parts, deadline, &mut progress).await {
+                return progress.answered(&answer, Some(ticket));
+            }
+            if progress.may_have_run {
+                return progress.unanswered(Some(ticket));
+            }
+            // No byte of a request with this ticket was written, so another one is safe.
+            self.drop_tickets(service);
+        }
+        progress.unanswered(None)
+    }
+
+    /// Sends a ticket's work until an instance answers, or gives none if the deadline passes or if
+    /// the ticket was never sent and its first address does not answer.
+    async fn try_ticket(
+        &self,
+        parts: &CallParts<'_>,
+        deadline: Instant,
+        progress: &mut CallProgress,
+    ) -> Option<Response<Bytes>> {
+        while Instant::now() < deadline {
+            for address in self.addresses(parts.service).await {
+                let left = deadline.saturating_duration_since(Instant::now());
+                let until = Instant::now() + left.mul_f64(FIRST_TRY_SHARE);
+                if let Ok(answer) = self.try_call(parts, address, deadline, until, progress).await {
+                    return Some(answer);
+                }
+                if !progress.may_have_run {
+                    return None;
+                }
+            }
+            self.forget_addresses(parts.service);
+            tokio::time::sleep(TRY_PAUSE).await;
+        }
+        None
+    }
+
+    /// How a ticket ended or stands, asked at any instance.
+    ///
+    /// # Errors
+    /// No instance answered.
+    pub async fn ticket_state(
+        &self,
+        service: &ServiceName,
+        ticket: &str,
+    ) -> Result<TicketState, NoInstanceError> {
+        let path = format_smolstr!("{TICKETS_PATH}/{ticket}");
+        for address in self.addresses(service).await {
+            if let Ok(answer) = self.ask(Method::GET, address, &path).await
+                && let Ok(state) = serde_json::from_slice(answer.body())
+            {
+                return Ok(state);
+            }
+        }
+        Err(NoInstanceError)
+    }
+
+    /// The addresses to use for a service, in order, kept as long as the answer allows.
+    pub async fn addresses(&self, service: &ServiceName) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let kept = self
+            .lock()
+            .addresses
+            .get(service)
+            .filter(|kept| now < kept.until)
+            .map(|kept| kept.addresses.clone());
+        let mut addresses = match kept {
+            Some(addresses) => addresses,
+            None => self.ask_addresses(service).await,
+        };
+        let kept = self.lock();
+        addresses.sort_by_key(|address| kept.failed.get(address).is_some_and(|until| now < *until));
+        addresses
+    }
+
+    async fn ask_addresses(&self, service: &ServiceName) -> Vec<SocketAddr> {
+        let path = format_smolstr!("{ADDRESSES_PATH}/{service}");
+        let mut instances = self.bootstrap.clone();
+        {
+            let kept = self.lock();
+            let now = Instant::now();
+            instances.sort_by_key(|at| kept.failed.get(at).is_some_and(|until| now < *until));
+        }
+        for instance in instances {
+            let Ok(answer) = self.ask(Method::GET, instance, &path).await else {
+                self.note_failed(instance);
+                continue;
+            };
+            let Ok(answer) = serde_json::from_slice::<AddressAnswer>(answer.body()) else {
+                continue;
+            };
+            let until = Instant::now() + answer.keep_ms.span();
+            let addresses = answer.addresses;
+            let kept = KeptAddresses { addresses: addresses.clone(), until };
+            self.lock().addresses.insert(service.clone(), kept);
+            return addresses;
+        }
+        Vec::new()
+    }
+
+    async fn take_ticket(&self, service: &ServiceName) -> Option<SmolStr> {
+        let now = Instant::now();
+        if let Some(tickets) = self.lock().tickets.get_mut(service) {
+            tickets.retain(|kept| now < kept.until);
+            if let Some(kept) = tickets.pop() {
+                return Some(kept.ticket);
+            }
+        }
+        let path = format_smolstr!("{TICKETS_PATH}/{service}?count={TICKET_BATCH}");
+        for address in self.addresses(service).await {
+            let Ok(answer) = self.ask(Method::POST, address, &path).await else {
+                self.note_failed(address);
+                continue;
+            };
+            let Ok(answer) = serde_json::from_slice::<TicketAnswer>(answer.body()) else {
+                continue;
+            };
+            let until = now + answer.valid_ms.span().saturating_sub(TICKET_MARGIN);
+            let mut tickets: Vec<KeptTicket> =
+                answer.tickets.into_iter().map(|ticket| KeptTicket { ticket, until }).collect();
+            let first = tickets.pop();
+            self.lock().tickets.entry(service.clone()).or_default().append(&mut tickets);
+            return first.map(|kept| kept.ticket);
+        }
+        self.forget_addresses(service);
+        None
+    }
+
+    async fn ask(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, address.to_smolstr().as_str())
+            .header(CALLER_HEADER, self.name.as_str())
+            .body(Full::default())
+            .expect("a path of names and digits is a valid URI");
+        let deadline = Instant::now() + ASK_TIMEOUT;
+        self.pool.exchange(address, request, ConnectionChoice::Pooled, deadline).await
+    }
+
+    async fn try_call(
+        &self,
+        parts: &CallParts<'_>,
+        address: SocketAddr,
+        deadline: Instant,
+        until: Instant,
+        progress: &mut CallProgress,
+    ) -> Result<Response<Bytes>, LinkError> {
+        progress.tries += 1;
+        let left = deadline.saturating_duration_since(Instant::now());
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+        let mut builder = Request::builder()
+            .method(parts.method.clone())
+            .uri(format!("{CALL_PATH}/{}{}", parts.service, parts.path))
+            .header(header::HOST, address.to_smolstr().as_str())
+            .header(CALLER_HEADER, self.name.as_str())
+            .header(DEADLINE_HEADER, millis);
+        if let Some(request) = &parts.request {
+            builder = builder.header(REQUEST_HEADER, request.as_str());
+        }
+        if let Some(ticket) = &parts.ticket {
+            builder = builder.header(TICKET_HEADER, ticket.as_str());
+        }
+        let request = builder
+            .body(Full::new(parts.body.clone()))
+            .expect("names, digits and a path make a valid request");
+        let choice = match parts.ticket {
+            Some(_) => ConnectionChoice::Recent,
+            None => ConnectionChoice::Pooled,
+        };
+        let result = self.pool.exchange(address, request, choice, until).await;
+        if let Err(cause) = &result {
+            progress.may_have_run |= cause.proof() == SendProof::MaybeSent;
+            self.note_failed(address);
+        }
+        result
+    }
+
+    fn note_failed(&self, address: SocketAddr) {
+        self.lock().failed.insert(address, Instant::now() + FAILED_SPAN);
+    }
+
+    fn forget_addresses(&self, service: &ServiceName) {
+        self.lock().addresses.remove(service);
+    }
+
+    fn drop_tickets(&self, service: &ServiceName) {
+        self.lock().tickets.remove(service);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, KeptAnswers> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes all connections.
+    pub fn close(self) {
+        self.pool.close();
+    }
+}
+
+struct CallProgress {
+    started: Instant,
+    tries: u32,
+    may_have_run: bool,
+}
+
+impl CallProgress {
+    fn new(started: Instant) -> Self {
+        Self { started, tries: 0, may_have_run: false }
+    }
+
+    fn answered(&self, answer: &Response<Bytes>, ticket: Option<SmolStr>) -> CallReport {
+        let text = |name: &str| {
+            let value = answer.headers().get(name).and_then(|value| value.to_str().ok());
+            SmolStr::new(value.unwrap_or_default())
+        };
+        let verdict = text(VERDICT_HEADER).parse().unwrap_or(RunVerdict::MayHaveRun);
+        // Without a ticket, an earlier try at another instance may have run.
+        let is_tainted = ticket.is_none() && self.may_have_run && verdict == RunVerdict::NotRun;
+        CallReport {
+            verdict: if is_tainted { RunVerdict::MayHaveRun } else { verdict },
+            status: answer.status().as_u16(),
+            body: answer.body().clone(),
+            instance: text(INSTANCE_HEADER),
+            server: text(SERVER_HEADER),
+            queue: Duration::from_micros(text(QUEUE_HEADER).parse().unwrap_or_default()),
+            elapsed: self.started.elapsed(),
+            tries: self.tries,
+            ticket,
+        }
+    }
+
+    fn unanswered(&self, ticket: Option<SmolStr>) -> CallReport {
+        let verdict = if self.may_have_run { RunVerdict::MayHaveRun } else { RunVerdict::NotRun };
+        CallReport {
+            verdict,
+            status: 0,
+            body: Bytes::new(),
+            instance: SmolStr::default(),
+            server: SmolStr::default(),
+            queue: Duration::ZERO,
+            elapsed: self.started.elapsed(),
+            tries: self.tries,
+            ticket,
+        }
+    }
+}
--- a/crates/change/src/lib.rs
+++ b/crates/change/src/lib.rs
@@ -11,7 +11,8 @@
 use smol_str::{SmolStr, ToSmolStr};
 use std::fmt;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Pause between tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -101,7 +101,7 @@
         /// Where.
         to: Vec<SocketAddr>,
         /// What.
-        digest: FleetDigest,
+        digest: Box<FleetDigest>,
     },
     /// Ask an instance for its configuration.
     FetchConfig(SocketAddr),
--- a/crates/control/src/reducer.rs
+++ b/crates/control/src/reducer.rs
@@ -248,7 +248,7 @@
         self.beat += 1;
         let to = self.heartbeat_targets();
         if !to.is_empty() {
-            effects.push(ControlEffect::SendHeartbeat { to, digest: self.digest(now) });
+            effects.push(ControlEffect::SendHeartbeat { to, digest: Box::new(self.digest(now)) });
         }
     }
 
--- /dev/null
+++ b/crates/dispatch/tests/queue.rs
@@ -0,0 +1,192 @@
+//! The queue of a service: order, slots, refusals, under a clock that the test holds.
+
+use dispatch::{
+    LateBinding, QueueEffect, QueueId, QueuedRequest, RefusalCause, ServerSlots, ServiceQueue,
+    SlotOutcome, SlotReport,
+};
+use model::{IncarnationId, MonoTime, SlotCount, WorkClass};
+use std::time::Duration;
+use testkit::cases;
+
+const LONG_YIELD: Duration = Duration::from_millis(500);
+
+fn millis(count: u64) -> MonoTime {
+    MonoTime(count * 1_000)
+}
+
+fn server(number: u16, slots: u32, leaving: bool) -> ServerSlots {
+    ServerSlots {
+        name: format!("s{number}").parse().unwrap(),
+        incarnation: IncarnationId(1),
+        address: ([127, 0, 0, 1], number).into(),
+        slots: SlotCount(slots),
+        leaving,
+    }
+}
+
+/// A queue whose effects are kept for inspection.
+struct QueueBench {
+    queue: ServiceQueue,
+    sent: Vec<(u64, dispatch::slots::SlotGrant)>,
+    refused: Vec<(u64, RefusalCause)>,
+}
+
+impl QueueBench {
+    fn new(servers: Vec<ServerSlots>) -> Self {
+        let mut queue = ServiceQueue::new(Box::new(LateBinding::default()));
+        queue.configure(millis(0), servers, LONG_YIELD);
+        Self { queue, sent: Vec::new(), refused: Vec::new() }
+    }
+
+    fn note(&mut self, effects: Vec<QueueEffect>) {
+        for effect in effects {
+            match effect {
+                QueueEffect::Dispatch { id, grant } => self.sent.push((id.0, grant)),
+                QueueEffect::Refuse { id, cause, .. } => self.refused.push((id.0, cause)),
+            }
+        }
+    }
+
+    fn arrive(&mut self, at: u64, id: u64, caller: &str, class: WorkClass, deadline: u64) {
+        let request = QueuedRequest {
+            id: QueueId(id),
+            caller: caller.parse().unwrap(),
+            class,
+            deadline: millis(deadline),
+            avoid: Vec::new(),
+        };
+        let effects = self.queue.arrive(millis(at), millis(at), request);
+        self.note(effects);
+    }
+
+    fn finish(&mut self, at: u64, id: u64, outcome: SlotOutcome) {
+        let place = self.sent.iter().rposition(|(sent, _)| *sent == id).unwrap();
+        let grant = self.sent[place].1.clone();
+        let report = SlotReport { id: QueueId(id), grant, outcome, reported: None };
+        let effects = self.queue.finish(millis(at), &report);
+        self.note(effects);
+    }
+
+    fn advance(&mut self, at: u64) {
+        let effects = self.queue.advance(millis(at));
+        self.note(effects);
+    }
+
+    fn order(&self) -> Vec<u64> {
+        self.sent.iter().map(|(id, _)| *id).collect()
+    }
+}
+
+/// Fills the one slot, lets requests wait, then frees the slot time after time.
+fn check_order(waiting: &[(u64, &str, WorkClass)], expected: &[u64]) {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    bench.arrive(0, 100, "first", WorkClass::Short, 60_000);
+    for (index, (at, caller, class)) in waiting.iter().enumerate() {
+        bench.arrive(*at, index as u64 + 1, caller, *class, 60_000);
+    }
+    let mut last = 100;
+    for turn in 0..waiting.len() as u64 {
+        bench.finish(1_000 + turn, last, SlotOutcome::Abandoned);
+        last = *bench.order().last().unwrap();
+    }
+    assert_eq!(bench.order()[1..], *expected);
+}
+
+use WorkClass::{Long, Short};
+
+cases! { check_order {
+    first_come_first_served: (&[(1, "a", Short), (2, "b", Short)], &[1, 2]);
+    short_work_first: (&[(1, "a", Long), (2, "b", Short)], &[2, 1]);
+    long_work_ages: (&[(1, "a", Long), (600, "b", Short)], &[1, 2]);
+    callers_take_turns: (&[(1, "a", Short), (2, "a", Short), (3, "a", Short), (4, "b", Short)], &[1, 4, 2, 3]);
+} }
+
+#[test]
+fn request_goes_only_into_a_free_slot() {
+    let mut bench = QueueBench::new(vec![server(1, 2, false), server(2, 1, false)]);
+    for id in 0..5 {
+        bench.arrive(0, id, "a", Short, 60_000);
+    }
+    assert_eq!(bench.sent.len(), 3);
+    bench.finish(1, 0, SlotOutcome::Answered);
+    assert_eq!(bench.sent.len(), 4);
+}
+
+#[test]
+fn leaving_server_gets_no_new_work_and_keeps_its_own() {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    bench.arrive(0, 1, "a", Short, 60_000);
+    let servers = vec![server(1, 1, true), server(2, 1, false)];
+    let effects = bench.queue.configure(millis(1), servers, LONG_YIELD);
+    bench.note(effects);
+    bench.arrive(2, 2, "a", Short, 60_000);
+    assert_eq!(bench.sent[1].1.server.as_str(), "s2");
+    assert_eq!(bench.queue.in_flight(), 2);
+}
+
+/// Drops, marks and reconfigures a server, then counts what still reaches it.
+#[test]
+fn leaving_mark_outlives_a_configuration_that_says_live() {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    let name = "s1".parse().unwrap();
+    bench.queue.mark_leaving(&name, IncarnationId(1));
+    bench.queue.configure(millis(1), vec![server(1, 1, false)], LONG_YIELD);
+    bench.arrive(2, 1, "a", Short, 60_000);
+    assert_eq!(bench.order(), Vec::<u64>::new());
+}
+
+/// Lets one request wait and compares how it is refused.
+fn check_refusal(
+    servers: Vec<ServerSlots>,
+    deadline: u64,
+    advance_to: u64,
+    expected: RefusalCause,
+) {
+    let mut bench = QueueBench::new(servers);
+    bench.arrive(0, 1, "a", Short, 60_000);
+    bench.arrive(0, 2, "a", Short, deadline);
+    bench.advance(advance_to);
+    assert_eq!(bench.refused.last(), Some(&(2, expected)));
+}
+
+cases! { check_refusal {
+    deadline_in_the_past: (vec![server(1, 1, false)], 0, 0, RefusalCause::DeadlinePassed);
+    deadline_passes_in_the_queue: (vec![server(1, 1, false)], 50, 60, RefusalCause::DeadlinePassed);
+    no_servers: (vec![], 50, 0, RefusalCause::NoServers);
+    all_servers_leaving: (vec![server(1, 1, true)], 50, 0, RefusalCause::NoServers);
+} }
+
+#[test]
+fn wait_beyond_the_deadline_is_refused_on_arrival() {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    bench.arrive(0, 1, "a", Short, 60_000);
+    bench.finish(10, 1, SlotOutcome::Answered);
+    for id in 2..12 {
+        bench.arrive(10, id, "a", Short, 60_000);
+    }
+    bench.arrive(10, 99, "b", Short, 60);
+    assert_eq!(bench.refused, vec![(99, RefusalCause::WouldMissDeadline)]);
+}
+
+#[test]
+fn failing_server_is_paused_and_tried_again() {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    bench.arrive(0, 1, "a", Short, 60_000);
+    bench.finish(1, 1, SlotOutcome::Unreachable);
+    bench.arrive(2, 2, "a", Short, 60_000);
+    assert_eq!(bench.order(), vec![1]);
+    bench.advance(150);
+    assert_eq!(bench.order(), vec![1, 2]);
+}
+
+#[test]
+fn heavy_caller_does_not_delay_another() {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    for id in 0..100 {
+        bench.arrive(0, id, "heavy", Short, 60_000);
+    }
+    bench.arrive(1, 500, "light", Short, 60_000);
+    bench.finish(2, 0, SlotOutcome::Abandoned);
+    bench.finish(3, 1, SlotOutcome::Abandoned);
+    assert!(bench.order().contains(&500), "{:?}", bench.order());
+}
--- a/crates/entry/src/control_thread.rs
+++ b/crates/entry/src/control_thread.rs
@@ -112,7 +112,7 @@
                     tokio::spawn(send_heartbeat(
                         Arc::clone(&self.traffic),
                         address,
-                        digest.clone(),
+                        FleetDigest::clone(&digest),
                     ));
                 }
             }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -55,15 +55,16 @@
         settings: DaemonSettings,
         store: Arc<dyn PlatformStore>,
     ) -> Result<Self> {
+        let mut settings = settings;
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(settings.threads)
             .thread_name("traffic")
             .enable_all()
             .build()
             .context("starting the traffic threads")?;
-        let callers = bind(&runtime, settings.caller_address, "caller_address")?;
-        let operators = bind(&runtime, settings.operator_address, "operator_address")?;
-        let peers = bind(&runtime, settings.peer_address, "peer_address")?;
+        let callers = bind(&runtime, &mut settings.caller_address, "caller_address")?;
+        let operators = bind(&runtime, &mut settings.operator_address, "operator_address")?;
+        let peers = bind(&runtime, &mut settings.peer_address, "peer_address")?;
         let proof = TokenProof::of_token(&settings.token);
         let record = own_record(&settings, new_incarnation());
         let control_settings =
@@ -145,8 +146,14 @@
     }
 }
 
-fn bind(runtime: &Runtime, address: SocketAddr, key: &str) -> Result<TcpListener> {
-    runtime.block_on(TcpListener::bind(address)).with_context(|| format!("binding {key} {address}"))
+/// Binds a port and puts the address that it got into the settings.
+fn bind(runtime: &Runtime, address: &mut SocketAddr, key: &str) -> Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(*address)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .with_context(|| format!("binding {key} {address}"))?;
+    *address = listener.local_addr()?;
+    let _entered = runtime.enter();
+    Ok(TcpListener::from_std(listener)?)
 }
 
 /// Microseconds since the epoch, so that a later run of an instance has a greater one.
--- a/crates/entry/src/operator_port.rs
+++ b/crates/entry/src/operator_port.rs
@@ -126,7 +126,7 @@
 async fn change_config(state: &OperatorState, batch: &ChangeBatch, id: ChangeId) -> CommandAnswer {
     let view = state.traffic.view.load_full();
     let find = |name: &InstanceName| view.live_record(name).map(|record| record.incarnation);
-    let deadline = Instant::now() + ACCEPT_SPAN;
+    let deadline = tokio::time::Instant::now() + ACCEPT_SPAN;
     match accept_change(state.store.as_ref(), batch, &id, find, deadline).await {
         ChangeOutcome::NotAccepted(cause) => {
             CommandAnswer::NotAccepted { id, error: cause.to_smolstr() }
--- /dev/null
+++ b/crates/programs/src/bin/lacewing-load.rs
@@ -0,0 +1,106 @@
+//! Callers that put load on the system.
+
+use anyhow::{Result, bail};
+use bpaf::Bpaf;
+use model::ServiceName;
+use programs::load::{LoadPlan, LoadReport, run_load};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// lacewing-load: offers lookups and bookings and reports what callers got.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct LoadOptions {
+    /// Callers' port of an instance; may be given several times
+    #[bpaf(argument("ADDRESS"), some("give at least one --entry"))]
+    entry: Vec<SocketAddr>,
+    /// The service
+    #[bpaf(argument("NAME"))]
+    service: ServiceName,
+    /// Requests per second
+    #[bpaf(argument("RATE"), fallback(100.0))]
+    rate: f64,
+    /// How long, in seconds
+    #[bpaf(argument("SECONDS"), fallback(10.0))]
+    seconds: f64,
+    /// Callers that share the rate
+    #[bpaf(argument("COUNT"), fallback(8))]
+    callers: u32,
+    /// Share of bookings
+    #[bpaf(argument("SHARE"), fallback(0.1))]
+    bookings: f64,
+    /// Share of long requests, known by route
+    #[bpaf(argument("SHARE"), fallback(0.016))]
+    long: f64,
+    /// Share of stragglers that no route tells
+    #[bpaf(argument("SHARE"), fallback(0.004))]
+    stragglers: f64,
+    /// Work of a short request, in milliseconds
+    #[bpaf(argument("MS"), fallback(4))]
+    short_ms: u64,
+    /// Work of a long request, in milliseconds
+    #[bpaf(argument("MS"), fallback(100))]
+    long_ms: u64,
+    /// Time allowed to a call, in milliseconds
+    #[bpaf(argument("MS"), fallback(2000))]
+    deadline_ms: u64,
+    /// Seed of all random choices
+    #[bpaf(argument("SEED"), fallback(1))]
+    seed: u64,
+    /// Print JSON
+    json: bool,
+}
+
+fn main() -> Result<()> {
+    let options = load_options().run();
+    if options.rate <= 0.0 || options.seconds <= 0.0 {
+        bail!("--rate and --seconds must be greater than 0");
+    }
+    let plan = LoadPlan {
+        entries: options.entry,
+        service: options.service,
+        rate: options.rate,
+        span: Duration::from_secs_f64(options.seconds),
+        callers: options.callers,
+        bookings: options.bookings,
+        long_share: options.long,
+        short: Duration::from_millis(options.short_ms),
+        long: Duration::from_millis(options.long_ms),
+        straggler_share: options.stragglers,
+        deadline: Duration::from_millis(options.deadline_ms),
+        seed: options.seed,
+    };
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let report = runtime.block_on(run_load(&plan));
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print_report(&report);
+    }
+    Ok(())
+}
+
+fn print_report(report: &LoadReport) {
+    println!("seed {}, served {:.0}/s", report.seed, report.served_per_second);
+    println!("answers not own or not whole: {}", report.foreign_answers);
+    println!("not offered: {}", report.not_offered);
+    for (verdict, count) in &report.verdicts {
+        println!("  {verdict:24} {count}");
+    }
+    println!(
+        "  {:10} {:>8} {:>9} {:>9} {:>9} {:>13}",
+        "kind", "count", "p50 ms", "p99 ms", "p99.9 ms", "queue p99 ms"
+    );
+    for (kind, latency) in &report.latencies {
+        let ms = |micros: u64| micros as f64 / 1_000.0;
+        println!(
+            "  {kind:10} {:>8} {:>9.2} {:>9.2} {:>9.2} {:>13.2}",
+            latency.count,
+            ms(latency.p50_us),
+            ms(latency.p99_us),
+            ms(latency.p999_us),
+            ms(latency.queue_p99_us)
+        );
+    }
+}
--- /dev/null
+++ b/crates/programs/src/bin/lacewing-standin.rs
@@ -0,0 +1,95 @@
+//! Stand-ins for the platform and for backend servers, as processes.
+
+use anyhow::Result;
+use bpaf::Bpaf;
+use model::ServerName;
+use standin::{BackendSettingsBuilder, StandinBackend, StandinStore};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// lacewing-standin: stands in for outside systems in tests and benches.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum StandinOptions {
+    /// The platform's key-value service
+    #[bpaf(command)]
+    Store {
+        /// Where to listen
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// How far the list of instances lags behind, in milliseconds
+        #[bpaf(argument("MS"), fallback(1000))]
+        list_lag_ms: u64,
+    },
+    /// A backend server
+    #[bpaf(command)]
+    Backend {
+        /// Where to listen
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Its name
+        #[bpaf(argument("NAME"))]
+        name: ServerName,
+        /// Requests it works on at once
+        #[bpaf(argument("COUNT"), fallback(6))]
+        slots: u32,
+        /// Work of a request that names none, in milliseconds
+        #[bpaf(argument("MS"), fallback(4))]
+        work_ms: u64,
+        /// Share of stragglers
+        #[bpaf(argument("SHARE"), fallback(0.0))]
+        stragglers: f64,
+        /// How many times longer a straggler takes
+        #[bpaf(argument("FACTOR"), fallback(25))]
+        factor: u32,
+        /// How long requests take twice their time after the start, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        cold_ms: u64,
+        /// Seed of the stragglers
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+    },
+}
+
+fn main() -> Result<()> {
+    let options = standin_options().run();
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?
+        .block_on(run(options))
+}
+
+async fn run(options: StandinOptions) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    match options {
+        StandinOptions::Store { listen, list_lag_ms } => {
+            let store = StandinStore::start(listen, Duration::from_millis(list_lag_ms)).await?;
+            terminate.recv().await;
+            store.close().await;
+        }
+        StandinOptions::Backend {
+            listen,
+            name,
+            slots,
+            work_ms,
+            stragglers,
+            factor,
+            cold_ms,
+            seed,
+        } => {
+            let settings = BackendSettingsBuilder::new(name, listen)
+                .slots(slots)
+                .service_time(Duration::from_millis(work_ms))
+                .stragglers(stragglers, factor)
+                .cold_span(Duration::from_millis(cold_ms))
+                .seed(seed)
+                .build();
+            let backend = StandinBackend::start(settings).await?;
+            terminate.recv().await;
+            backend.close().await;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/programs/src/demo.rs
@@ -0,0 +1,223 @@
+//! The main job in one process: store, backend servers, entry instances, an operator and callers.
+
+use crate::load::{LoadPlan, LoadReport, run_load};
+use crate::operator::{OperatorClient, render_answer};
+use anyhow::{Context, Result, ensure};
+use entry::EntryInstance;
+use model::operator::CommandAnswer;
+use model::{DataCentre, InstanceName, RunVerdict, ServiceName};
+use settings::DaemonSettings;
+use smol_str::SmolStr;
+use standin::{BackendSettingsBuilder, LedgerReport, StandinBackend, StandinStore};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use timeline::ring::merge_events;
+use timeline::{EventKind, TimelineEvent, TimelineQuery};
+
+/// Secret of the demo's operators and instances.
+const TOKEN: &str = "demo-token";
+/// The service that the demo creates.
+const SERVICE: &str = "orders";
+/// Entry instances.
+const ENTRIES: usize = 3;
+/// Backend servers.
+const SERVERS: usize = 4;
+/// How long the callers go on.
+const LOAD_SPAN: Duration = Duration::from_secs(8);
+/// When a backend server is drained.
+const DRAIN_AFTER: Duration = Duration::from_secs(2);
+/// When an entry instance stops, after the drain.
+const STOP_AFTER: Duration = Duration::from_secs(1);
+/// Events of the time line that are printed.
+const EVENTS_SHOWN: usize = 24;
+
+/// What the demo found.
+pub struct DemoOutcome {
+    /// What the callers got.
+    pub load: LoadReport,
+    /// What the backend servers ran.
+    pub ledger: LedgerReport,
+    /// Bookings refused as not run that ran all the same.
+    pub false_not_run: usize,
+    /// Calls that the stop of the entry instance cut off.
+    pub cut_off: i64,
+    /// Latest changes of state.
+    pub events: Vec<TimelineEvent>,
+}
+
+impl DemoOutcome {
+    /// Checks the promises that the demo shows.
+    ///
+    /// # Errors
+    /// The first promise that does not hold.
+    pub fn check(&self) -> Result<()> {
+        for (verdict, count) in &self.load.verdicts {
+            let is_lookup = !verdict.starts_with("booking");
+            let is_answered = verdict.ends_with("/ran");
+            ensure!(!is_lookup || is_answered, "{count} lookups ended as {verdict}");
+        }
+        ensure!(self.load.not_offered == 0, "some requests could not be offered");
+        ensure!(self.load.foreign_answers == 0, "an answer was foreign or not whole");
+        ensure!(self.ledger.doubles() == 0, "a booking ran twice");
+        ensure!(self.false_not_run == 0, "a booking refused as not run ran");
+        ensure!(self.cut_off == 0, "the stop of an instance cut off {} calls", self.cut_off);
+        Ok(())
+    }
+}
+
+/// Runs the demo.
+///
+/// # Errors
+/// A part cannot be started or does not answer.
+pub async fn run_demo() -> Result<DemoOutcome> {
+    let store = StandinStore::start(loopback(0), Duration::from_millis(500)).await?;
+    let mut servers = Vec::new();
+    for number in 0..SERVERS {
+        let name = format!("server-{number}").parse()?;
+        let settings = BackendSettingsBuilder::new(name, loopback(0)).seed(number as u64).build();
+        servers.push(StandinBackend::start(settings).await?);
+    }
+    let mut entries = Vec::new();
+    for number in 0..ENTRIES {
+        entries.push(start_entry(number, store.address())?);
+    }
+    let callers: Vec<SocketAddr> =
+        entries.iter().map(|entry| entry.traffic().settings.caller_address).collect();
+    wait_for_members(&entries).await?;
+    let service: ServiceName = SERVICE.parse()?;
+    create_service(&operator_of(&entries[0]), &servers).await?;
+    let stopped = take_home(&mut entries, &service).context("the service has a home")?;
+    let operator = operator_of(&entries[0]);
+    let plan = load_plan(callers, service);
+    let load = tokio::spawn(async move { run_load(&plan).await });
+    tokio::time::sleep(DRAIN_AFTER).await;
+    run_command(&operator, "drain server server-0 in orders").await?;
+    tokio::time::sleep(STOP_AFTER).await;
+    let mut lists = Vec::new();
+    let query = TimelineQuery::default();
+    let stopped_traffic = std::sync::Arc::clone(stopped.traffic());
+    let name = stopped_traffic.settings.name.clone();
+    println!("operator> stop {name}");
+    let cut_off = tokio::task::spawn_blocking(move || stopped.close()).await?;
+    println!("instance {name} stopped, calls cut off: {cut_off}");
+    lists.push(stopped_traffic.ring.select(&query));
+    let load = load.await?;
+    let mut ledger = LedgerReport::default();
+    for server in &servers {
+        ledger.merge(server.ledger());
+    }
+    lists.extend(entries.iter().map(|entry| entry.traffic().ring.select(&query)));
+    for entry in entries {
+        tokio::task::spawn_blocking(move || entry.close()).await?;
+    }
+    for server in servers {
+        server.close().await;
+    }
+    store.close().await;
+    let false_not_run = count_false_not_run(&load, &ledger);
+    let events = state_changes(merge_events(lists));
+    Ok(DemoOutcome { load, ledger, false_not_run, cut_off, events })
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn start_entry(number: usize, platform: SocketAddr) -> Result<EntryInstance> {
+    let name: InstanceName = format!("entry-{number}").parse()?;
+    let centre: DataCentre = format!("gt-{number}").parse()?;
+    let text = format!(
+        "[instance]\nname = {name}\ndata_centre = {centre}\ncaller_address = 127.0.0.1:0\n\
+         operator_address = 127.0.0.1:0\npeer_address = 127.0.0.1:0\n\
+         [platform]\naddress = {platform}\n[fleet]\ntoken = {TOKEN}\n",
+    );
+    EntryInstance::start(DaemonSettings::parse("demo", &text)?)
+}
+
+fn operator_of(entry: &EntryInstance) -> OperatorClient {
+    let address = entry.traffic().settings.operator_address;
+    OperatorClient::new(address, SmolStr::new_static(TOKEN))
+}
+
+/// Takes out the instance that holds the queue of the service.
+fn take_home(entries: &mut Vec<EntryInstance>, service: &ServiceName) -> Option<EntryInstance> {
+    let is_home = |entry: &EntryInstance| entry.traffic().view.load().home_rank(service).is_some();
+    let at = entries.iter().position(is_home)?;
+    Some(entries.remove(at))
+}
+
+async fn wait_for_members(entries: &[EntryInstance]) -> Result<()> {
+    for _ in 0..200 {
+        let knows_all = |entry: &EntryInstance| {
+            let view = entry.traffic().view.load();
+            view.members.len() == entries.len() && view.config.is_some()
+        };
+        if entries.iter().all(knows_all) {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    anyhow::bail!("the instances did not find each other")
+}
+
+async fn run_command(operator: &OperatorClient, text: &str) -> Result<()> {
+    println!("operator> {text}");
+    let answer = operator.send(text, None).await?;
+    print!("{}", render_answer(&answer));
+    let done =
+        matches!(answer, CommandAnswer::InForceEverywhere { .. } | CommandAnswer::Report { .. });
+    ensure!(done, "the command is not in force everywhere");
+    Ok(())
+}
+
+async fn create_service(operator: &OperatorClient, servers: &[StandinBackend]) -> Result<()> {
+    let mut batch = String::from(
+        "create service orders (deadline_ms = 2000, keep_ms = 1500);\n\
+         create rule in orders route \"/report\" (class = long);\n",
+    );
+    for (number, server) in servers.iter().enumerate() {
+        batch.push_str(&format!(
+            "create server server-{number} in orders at {};\n",
+            server.address()
+        ));
+    }
+    run_command(operator, &batch).await?;
+    run_command(operator, "show services; show servers in orders; show instances").await
+}
+
+fn load_plan(entries: Vec<SocketAddr>, service: ServiceName) -> LoadPlan {
+    LoadPlan {
+        entries,
+        service,
+        rate: 300.0,
+        span: LOAD_SPAN,
+        callers: 8,
+        bookings: 0.2,
+        long_share: 0.016,
+        short: Duration::from_millis(4),
+        long: Duration::from_millis(100),
+        straggler_share: 0.004,
+        deadline: Duration::from_secs(2),
+        seed: 1,
+    }
+}
+
+/// Bookings that were refused as not run and that a backend server ran.
+pub fn count_false_not_run(load: &LoadReport, ledger: &LedgerReport) -> usize {
+    load.tickets
+        .iter()
+        .filter(|(ticket, verdict)| {
+            *verdict == RunVerdict::NotRun && ledger.runs.contains_key(ticket)
+        })
+        .count()
+}
+
+fn state_changes(events: Vec<TimelineEvent>) -> Vec<TimelineEvent> {
+    let is_change = |event: &TimelineEvent| {
+        event.kind.request().is_none() || matches!(event.kind, EventKind::ExchangeFailed { .. })
+    };
+    let mut changes: Vec<TimelineEvent> = events.into_iter().filter(is_change).collect();
+    let excess = changes.len().saturating_sub(EVENTS_SHOWN);
+    changes.drain(..excess);
+    changes
+}
--- /dev/null
+++ b/crates/programs/src/lib.rs
@@ -0,0 +1,5 @@
+//! The thin programs around the libraries: shared parts of their command lines.
+
+pub mod demo;
+pub mod load;
+pub mod operator;
--- /dev/null
+++ b/crates/programs/src/operator.rs
@@ -0,0 +1,122 @@
+//! Talks to the operators' port of an instance.
+
+use anyhow::{Context, Result, bail};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use link::{ConnectionChoice, LinkPool, LinkPoolBuilder};
+use model::operator::{CHANGE_HEADER, COMMANDS_PATH, CommandAnswer, ReportTable, TIMELINE_PATH};
+use smol_str::{SmolStr, ToSmolStr};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use timeline::TimelineEvent;
+
+/// How long an instance may take to answer; a change may take a while to be in force everywhere.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// A connection to an instance for operators.
+pub struct OperatorClient {
+    address: SocketAddr,
+    token: SmolStr,
+    pool: LinkPool,
+}
+
+impl OperatorClient {
+    /// Uses the instance whose operators' port is at `address`.
+    pub fn new(address: SocketAddr, token: SmolStr) -> Self {
+        Self { address, token, pool: LinkPoolBuilder::default().build() }
+    }
+
+    /// Sends a batch of commands.
+    ///
+    /// # Errors
+    /// The instance does not answer or refuses the token. After a lost answer a change may have
+    /// been accepted: send it again under the same id.
+    pub async fn send(&self, text: &str, id: Option<&str>) -> Result<CommandAnswer> {
+        let mut builder = self.request(Method::POST, COMMANDS_PATH);
+        if let Some(id) = id {
+            builder = builder.header(CHANGE_HEADER, id);
+        }
+        let body = Full::new(Bytes::copy_from_slice(text.as_bytes()));
+        let answer = self.exchange(builder.body(body)?).await?;
+        serde_json::from_slice(&answer).context("reading the answer")
+    }
+
+    /// Asks for events of the time line of this instance; `query` goes into the URL.
+    ///
+    /// # Errors
+    /// The instance does not answer or refuses the token.
+    pub async fn timeline(&self, query: &str) -> Result<Vec<TimelineEvent>> {
+        let path = format!("{TIMELINE_PATH}?{query}");
+        let answer = self.exchange(self.request(Method::GET, &path).body(Full::default())?).await?;
+        serde_json::from_slice(&answer).context("reading the events")
+    }
+
+    fn request(&self, method: Method, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_smolstr().as_str())
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes> {
+        let deadline = Instant::now() + ANSWER_TIMEOUT;
+        let choice = ConnectionChoice::Recent;
+        let answer = self.pool.exchange(self.address, request, choice, deadline).await;
+        let answer = answer.with_context(|| format!("instance at {}", self.address))?;
+        if answer.status() == StatusCode::UNAUTHORIZED {
+            bail!("instance at {} refuses the token", self.address);
+        }
+        Ok(answer.into_body())
+    }
+}
+
+/// Lays out a table as text.
+pub fn render_table(table: &ReportTable) -> String {
+    let mut widths: Vec<usize> = table.columns.iter().map(|column| column.len()).collect();
+    for row in &table.rows {
+        for (width, value) in widths.iter_mut().zip(row) {
+            *width = (*width).max(value.chars().count());
+        }
+    }
+    let mut text = format!("{}\n", table.title);
+    for row in std::iter::once(&table.columns).chain(&table.rows) {
+        let mut line = String::new();
+        for (value, width) in row.iter().zip(&widths) {
+            let _ = write!(line, "  {value:width$}");
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+/// The answer to a batch as text.
+pub fn render_answer(answer: &CommandAnswer) -> String {
+    match answer {
+        CommandAnswer::Report { tables } => {
+            tables.iter().map(render_table).collect::<Vec<_>>().join("\n")
+        }
+        CommandAnswer::Invalid { error } => format!("invalid, nothing changed: {error}\n"),
+        CommandAnswer::NotAccepted { id, error } => {
+            format!("change {id} not accepted, nothing changed: {error}\n")
+        }
+        CommandAnswer::Accepted { id, version, unconfirmed } => {
+            let names: Vec<_> = unconfirmed.iter().map(ToString::to_string).collect();
+            format!(
+                "change {id} accepted as version {version}; not confirmed in force at: {}\n",
+                names.join(" ")
+            )
+        }
+        CommandAnswer::InForceEverywhere { id, version } => {
+            format!("change {id} in force everywhere as version {version}\n")
+        }
+        CommandAnswer::Undetermined { id, error } => {
+            format!(
+                "change {id}: not known whether accepted ({error}); send it again with --id {id}\n"
+            )
+        }
+    }
+}
