Keep a backend server's own leaving mark when the configuration is applied again

Cause: the answer that says draining marks the server in the queue at once, but the next view is built from a control state that may not know it yet and overwrote the mark, so new work went to a leaving server. Ruled out: the control thread losing the event (it only lags). Before: leaving_mark_outlives_a_configuration_that_says_live dispatched one request.

--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -215,7 +215,9 @@
             match known.iter().position(same) {
                 Some(at) => {
                     let mut state = known.swap_remove(at);
-                    state.config = config;
+                    // The configuration may lag behind what the server itself said.
+                    let leaving = state.config.leaving || config.leaving;
+                    state.config = ServerSlots { leaving, ..config };
                     self.servers.push(state);
                 }
                 None => self.servers.push(SlotState::new(config)),
