--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -133,6 +133,14 @@
         left
     }
 
+    /// Ends all threads at once, as a crash would, apart from closing the sockets.
+    pub fn abort(self) {
+        let _ = self.stop.send(true);
+        // A panic of the control thread was logged when it happened.
+        let _ = self.control.join();
+        self.runtime.shutdown_background();
+    }
+
     fn in_progress(&self) -> i64 {
         let running = crate::traffic::lock(&self.traffic.running).len();
         self.traffic.metrics.in_progress.get() + i64::try_from(running).unwrap_or(i64::MAX)
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,199 @@
+//! A fleet in one process: the platform's stand-in, backend servers and entry instances.
+
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use entry::{EntryInstance, TrafficState};
+use http::{Method, Request, Response};
+use http_body_util::Full;
+use link::{ConnectionChoice, LinkError, LinkPool, LinkPoolBuilder};
+use model::operator::{CHANGE_HEADER, COMMANDS_PATH, CommandAnswer};
+use model::wire::{TicketAnswer, VERDICT_HEADER};
+use model::{RunVerdict, ServiceName};
+use settings::DaemonSettings;
+use standin::{BackendSettingsBuilder, LedgerReport, StandinBackend, StandinStore};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+
+pub const TOKEN: &str = "test-token";
+/// Longest wait for something that must happen; nothing is judged by how long it took.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+pub struct TestFleet {
+    pub runtime: Runtime,
+    pub store: StandinStore,
+    pub servers: Vec<StandinBackend>,
+    pub entries: Vec<EntryInstance>,
+    pool: LinkPool,
+}
+
+impl TestFleet {
+    /// Starts a fleet with the service `orders` on `servers` backend servers.
+    pub fn start(entries: usize, servers: usize) -> Self {
+        Self::start_with_settings(entries, servers, "")
+    }
+
+    /// Like `start`, with further settings for each instance.
+    pub fn start_with_settings(entries: usize, servers: usize, further: &str) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let store =
+            runtime.block_on(StandinStore::start(loopback(), Duration::from_millis(100))).unwrap();
+        let mut fleet = Self {
+            runtime,
+            store,
+            servers: Vec::new(),
+            entries: Vec::new(),
+            pool: LinkPoolBuilder::default().build(),
+        };
+        for number in 0..entries {
+            let entry = fleet.start_entry(number, further);
+            fleet.entries.push(entry);
+        }
+        wait_until("the instances know each other", || {
+            fleet.entries.iter().all(|entry| {
+                let view = entry.traffic().view.load();
+                view.members.len() == entries && view.config.is_some()
+            })
+        });
+        let mut batch = String::from(
+            "create service orders (deadline_ms = 5000, keep_ms = 100);\n\
+             create rule in orders route \"/report\" (class = long);\n",
+        );
+        for number in 0..servers {
+            let name = format!("server-{number}").parse().unwrap();
+            let settings = BackendSettingsBuilder::new(name, loopback())
+                .service_time(Duration::from_millis(2))
+                .build();
+            let server = fleet.runtime.block_on(StandinBackend::start(settings)).unwrap();
+            let address = server.address();
+            batch.push_str(&format!("create server server-{number} in orders at {address};\n"));
+            fleet.servers.push(server);
+        }
+        let answer = fleet.command(0, &batch);
+        assert!(matches!(answer, CommandAnswer::InForceEverywhere { .. }), "{answer:?}");
+        fleet
+    }
+
+    pub fn start_entry(&self, number: usize, further: &str) -> EntryInstance {
+        let text = format!(
+            "[instance]\nname = entry-{number}\ndata_centre = dc-{number}\n\
+             caller_address = 127.0.0.1:0\noperator_address = 127.0.0.1:0\n\
+             peer_address = 127.0.0.1:0\n[platform]\naddress = {}\ntimeout_ms = 500\n\
+             [fleet]\ntoken = {TOKEN}\n{further}",
+            self.store.address()
+        );
+        EntryInstance::start(DaemonSettings::parse("test", &text).unwrap()).unwrap()
+    }
+
+    pub fn traffic(&self, entry: usize) -> &Arc<TrafficState> {
+        self.entries[entry].traffic()
+    }
+
+    pub fn caller_address(&self, entry: usize) -> SocketAddr {
+        self.traffic(entry).settings.caller_address
+    }
+
+    /// The instance that holds the queue of `orders`.
+    pub fn home(&self) -> usize {
+        let service: ServiceName = "orders".parse().unwrap();
+        let is_home =
+            |entry: &EntryInstance| entry.traffic().view.load().home_rank(&service).is_some();
+        self.entries.iter().position(is_home).unwrap()
+    }
+
+    /// An instance that passes calls for `orders` on.
+    pub fn other(&self) -> usize {
+        let home = self.home();
+        (0..self.entries.len()).find(|entry| *entry != home).unwrap()
+    }
+
+    pub fn command(&self, entry: usize, text: &str) -> CommandAnswer {
+        self.command_with_id(entry, text, None)
+    }
+
+    pub fn command_with_id(&self, entry: usize, text: &str, id: Option<&str>) -> CommandAnswer {
+        let address = self.traffic(entry).settings.operator_address;
+        let mut builder = Request::builder()
+            .method(Method::POST)
+            .uri(COMMANDS_PATH)
+            .header("host", "test")
+            .header("authorization", format!("Bearer {TOKEN}"));
+        if let Some(id) = id {
+            builder = builder.header(CHANGE_HEADER, id);
+        }
+        let request = builder.body(Full::new(Bytes::copy_from_slice(text.as_bytes()))).unwrap();
+        let answer = self.exchange(address, request).unwrap();
+        serde_json::from_slice(answer.body()).unwrap()
+    }
+
+    pub fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, LinkError> {
+        let deadline = Instant::now() + PATIENCE;
+        let exchange = self.pool.exchange(address, request, ConnectionChoice::Pooled, deadline);
+        self.runtime.block_on(exchange)
+    }
+
+    /// Sends a request with headers to an instance.
+    pub fn call(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Response<Bytes> {
+        let mut builder = Request::builder().method(method).uri(path).header("host", "test");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).unwrap();
+        self.exchange(self.caller_address(entry), request).unwrap()
+    }
+
+    /// Takes a ticket for `orders` from an instance.
+    pub fn ticket(&self, entry: usize) -> String {
+        let answer = self.call(entry, "POST", "/v1/tickets/orders", &[], "");
+        let answer: TicketAnswer = serde_json::from_slice(answer.body()).unwrap();
+        answer.tickets[0].to_string()
+    }
+
+    /// Runs of the backend servers so far.
+    pub fn ledger(&self) -> LedgerReport {
+        let mut ledger = LedgerReport::default();
+        for server in &self.servers {
+            ledger.merge(server.ledger());
+        }
+        ledger
+    }
+
+    pub fn close(self) {
+        for entry in self.entries {
+            // The test is over; nothing is in progress and no caller keeps an address.
+            entry.abort();
+        }
+        self.runtime.shutdown_timeout(Duration::from_millis(100));
+    }
+}
+
+/// The verdict on an answer.
+pub fn verdict_of(answer: &Response<Bytes>) -> Option<RunVerdict> {
+    answer.headers().get(VERDICT_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
