--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,8 +1,12 @@
-//! Chores of the project: `cargo xtask ci` checks format, lints and tests.
+//! Chores of the project: checks, runs of the programs as separate processes, runs under faults.
 
-use anyhow::{Context, Result, bail};
+mod chaos;
+mod ci;
+mod fleet;
+mod processes;
+
+use anyhow::Result;
 use bpaf::Bpaf;
-use std::process::Command;
 
 /// Chores of the project.
 #[derive(Debug, Clone, Bpaf)]
@@ -11,25 +15,28 @@
     /// Check format, lints and tests
     #[bpaf(command)]
     Ci,
+    /// Run the programs as separate processes and show what they print
+    #[bpaf(command)]
+    Processes,
+    /// Run the programs as separate processes under random faults and check the promises
+    #[bpaf(command)]
+    Chaos {
+        /// Seed of the faults and of the load
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// How long, in seconds
+        #[bpaf(argument("SECONDS"), fallback(60))]
+        seconds: u64,
+        /// Requests per second
+        #[bpaf(argument("RATE"), fallback(300.0))]
+        rate: f64,
+    },
 }
 
 fn main() -> Result<()> {
     match chore_options().run() {
-        ChoreOptions::Ci => run_ci(),
-    }
-}
-
-fn run_ci() -> Result<()> {
-    cargo(&["fmt", "--all", "--check"])?;
-    cargo(&["clippy", "--workspace", "--all-targets", "--", "-D", "warnings"])?;
-    cargo(&["test", "--workspace"])
-}
-
-fn cargo(arguments: &[&str]) -> Result<()> {
-    println!("cargo {}", arguments.join(" "));
-    let status = Command::new(env!("CARGO")).args(arguments).status().context("starting cargo")?;
-    if !status.success() {
-        bail!("cargo {} failed", arguments.join(" "));
+        ChoreOptions::Ci => ci::run_ci(),
+        ChoreOptions::Processes => processes::run_processes(),
+        ChoreOptions::Chaos { seed, seconds, rate } => chaos::run_chaos(seed, seconds, rate),
     }
-    Ok(())
 }
--- /dev/null
+++ b/crates/xtask/src/processes.rs
@@ -0,0 +1,44 @@
+//! Runs the programs as separate processes and shows what they print.
+
+use crate::ci::build_release;
+use crate::fleet::{FleetSize, ProcessFleet, SERVICE, TOKEN};
+use anyhow::{Context, Result, ensure};
+use std::process::Command;
+
+/// Three entry instances, four backend servers, the store, the operators' tool and callers.
+pub fn run_processes() -> Result<()> {
+    build_release()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let fleet = runtime.block_on(ProcessFleet::start(FleetSize { entries: 3, servers: 4 }))?;
+    run_tool(&fleet, &["run", &fleet.service_batch()])?;
+    run_tool(&fleet, &["run", "show services; show instances"])?;
+    let entries: Vec<String> =
+        fleet.entries.iter().map(|entry| format!("--entry={}", entry.address)).collect();
+    let mut arguments: Vec<&str> = entries.iter().map(String::as_str).collect();
+    let service = format!("--service={SERVICE}");
+    arguments.extend([service.as_str(), "--rate=300", "--seconds=5"]);
+    run_program(&fleet, "lacewing-load", &arguments)?;
+    run_tool(&fleet, &["run", &format!("drain server server-0 in {SERVICE}")])?;
+    run_tool(&fleet, &["run", &format!("show servers in {SERVICE}; show decisions in {SERVICE}")])?;
+    run_tool(&fleet, &["timeline", "--limit=8"])?;
+    let codes = fleet.close()?;
+    println!("entry instances ended with {codes:?}");
+    ensure!(codes.iter().all(|code| *code == Some(0)), "an instance cut off work");
+    Ok(())
+}
+
+fn run_tool(fleet: &ProcessFleet, action: &[&str]) -> Result<()> {
+    let instance = format!("--instance={}", fleet.operator_address(0));
+    let token = format!("--token={TOKEN}");
+    let mut arguments = vec![instance.as_str(), token.as_str()];
+    arguments.extend(action);
+    run_program(fleet, "lacewingctl", &arguments)
+}
+
+fn run_program(fleet: &ProcessFleet, name: &str, arguments: &[&str]) -> Result<()> {
+    println!("\n$ {name} {}", arguments.join(" "));
+    let path = fleet.programs.join(name);
+    let status = Command::new(path).args(arguments).status().context("starting a program")?;
+    ensure!(status.success(), "{name} ended with {status}");
+    Ok(())
+}
