Probe within a budget that holds over all instances together

Ways weighed: a share of the budget for each instance (membership changes break it), probes only by the home without a lease (two homes for a moment break it), a lease on the platform (taken). A new holder waits a whole lease span before its first probe, so that an earlier holder whose lease was lost early, or that was paused, cannot overlap; buckets start empty.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod budget;
 pub mod fair;
 pub mod learn;
+pub mod probe;
 pub mod queue;
 pub mod slots;
 pub mod ticket;
 
 pub use budget::RetryBudget;
 pub use learn::RouteMemory;
+pub use probe::ProbePacer;
 pub use queue::{
     QueueCounters, QueueEffect, QueueId, QueuedRequest, RefusalCause, ServiceQueue, SlotReport,
 };
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -162,6 +162,17 @@
         self.slots.mark_leaving(name, incarnation);
     }
 
+    /// Takes note of whether a server answered a probe.
+    pub fn record_probe(
+        &mut self,
+        now: MonoTime,
+        name: &ServerName,
+        incarnation: IncarnationId,
+        answered: bool,
+    ) {
+        self.slots.record_probe(now, name, incarnation, answered);
+    }
+
     /// Adds a request. A request that already waited keeps its place by `arrived`.
     pub fn arrive(
         &mut self,
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -176,6 +176,22 @@
         if now < self.paused_until { ServerState::Paused } else { ServerState::Usable }
     }
 
+    /// An answered probe ends a pause after failures, an unanswered one begins or prolongs it.
+    fn record_probe(&mut self, now: MonoTime, answered: bool) {
+        if !answered {
+            self.pause(now);
+        } else if self.failures > 0 {
+            self.failures = 0;
+            self.paused_until = now;
+        }
+    }
+
+    fn pause(&mut self, now: MonoTime) {
+        let span = PAUSE_FIRST * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.paused_until = now.after(span.min(PAUSE_MAX));
+    }
+
     fn is_usable(&self, now: MonoTime) -> bool {
         self.state(now) == ServerState::Usable
     }
@@ -232,6 +248,19 @@
         }
     }
 
+    /// Takes note of whether a server answered a probe.
+    pub fn record_probe(
+        &mut self,
+        now: MonoTime,
+        name: &ServerName,
+        incarnation: IncarnationId,
+        answered: bool,
+    ) {
+        if let Some(state) = self.find(name, incarnation) {
+            state.record_probe(now, answered);
+        }
+    }
+
     /// Slots of all servers that take new work.
     pub fn usable_slots(&self, now: MonoTime) -> u32 {
         self.servers
@@ -327,9 +356,7 @@
             // One time-out may be a straggler; several in a row are the server's.
             SlotOutcome::TimedOut if state.failures == 0 => state.failures = 1,
             SlotOutcome::Unreachable | SlotOutcome::Broken | SlotOutcome::TimedOut => {
-                let pause = PAUSE_FIRST * 2_u32.saturating_pow(state.failures.min(8));
-                state.failures += 1;
-                state.paused_until = now.after(pause.min(PAUSE_MAX));
+                state.pause(now);
             }
         }
         Some(span)
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -4,6 +4,7 @@
 use crate::control_thread::{ControlShell, own_record};
 use crate::operator_port::{OperatorState, operator_routes};
 use crate::peer_port::EntryPeer;
+use crate::prober::run_prober;
 use crate::traffic::TrafficState;
 use anyhow::{Context, Result};
 use control::{ControlEvent, ControlSettings, ControlState};
@@ -89,6 +90,7 @@
         let handler = Arc::new(EntryPeer::new(Arc::clone(&traffic), digest_receiver));
         runtime.spawn(accept_peers(peers, proof, handler));
         runtime.spawn(advance_queues(Arc::clone(&traffic)));
+        runtime.spawn(run_prober(Arc::clone(&traffic), Arc::clone(&store)));
         let operator_state = Arc::new(OperatorState { traffic: Arc::clone(&traffic), store });
         let servers = vec![
             serve_http(runtime.handle(), callers, caller_routes(Arc::clone(&traffic))),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod once;
 mod operator_port;
 mod peer_port;
+mod prober;
 mod report;
 mod service;
 mod traffic;
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -5,7 +5,7 @@
     LateBinding, QueueCounters, QueueEffect, QueueId, QueuedRequest, RefusalCause, RetryBudget,
     RouteMemory, ServerSlots, ServerView, ServiceQueue, SlotOutcome, SlotReport,
 };
-use model::{CallerName, Millis, MonoTime, ProcessClock, ServerName, WorkClass};
+use model::{CallerName, IncarnationId, Millis, MonoTime, ProcessClock, ServerName, WorkClass};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -91,6 +91,11 @@
         self.lock().queue.mark_leaving(&grant.server, grant.incarnation);
     }
 
+    /// Takes note of whether a backend server answered a probe.
+    pub fn record_probe(&self, server: &ServerName, incarnation: IncarnationId, answered: bool) {
+        self.lock().queue.record_probe(self.clock.now(), server, incarnation, answered);
+    }
+
     /// The learned class of a route.
     pub fn class_of(&self, route: &str) -> WorkClass {
         self.lock().routes.class_of(route)
