Test the fault matrix of calls: every fault at every step of bookings and lookups

A relay cuts or silences the links to backend servers at a chosen byte; callers cut or go silent in the middle; owners of tickets end before, within and after a booking, with and without a successor; copies arrive through all instances.

--- /dev/null
+++ b/crates/entry/tests/matrix.rs
@@ -0,0 +1,328 @@
+//! The fault matrix of calls: every fault at every step between instance and backend server and
+//! between caller and instance, for bookings and for lookups.
+
+mod support;
+
+use bytes::Bytes;
+use http::Response;
+use model::RunVerdict;
+use standin::backend::BackendFaults;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+use support::relay::RelayAction::{Cut, Silence};
+use support::relay::RelayStep::{Answer, Connect, Request};
+use support::relay::{RelayAction, RelayFault, RelayStep};
+use support::{PATIENCE, TestFleet, verdict_of, wait_until};
+use testkit::cases;
+
+const BOOK: &str = "/v1/call/orders/book?work_ms=5&n=7.";
+const LOOKUP: &str = "/v1/call/orders/lookup?work_ms=5&n=7.";
+/// Part of the path that the backend server's answer repeats.
+const OWN: &str = "n=7.";
+/// Time allowed to a call that meets a fault.
+const ALLOWED_MS: &str = "700";
+/// A strike on every try.
+const ALWAYS: u32 = u32::MAX;
+
+fn fault(step: RelayStep, action: RelayAction, times: u32) -> Option<RelayFault> {
+    Some(RelayFault { step, action, times })
+}
+
+fn book(fleet: &TestFleet, entry: usize, ticket: &str) -> Response<Bytes> {
+    let headers = [("lacewing-ticket", ticket), ("lacewing-deadline-ms", ALLOWED_MS)];
+    fleet.call(entry, "POST", BOOK, &headers, &"b".repeat(2_000))
+}
+
+/// Checks the verdicts that callers saw for one ticket against the ledger, now and after late work.
+fn assert_true_verdicts(fleet: &TestFleet, ticket: &str, answers: &[Response<Bytes>]) {
+    wait_until("work in progress ends", || {
+        fleet.servers.iter().all(|server| server.in_flight() == 0)
+    });
+    let runs = fleet.ledger().runs.get(ticket).copied().unwrap_or_default();
+    assert!(runs <= 1, "ran {runs} times");
+    for answer in answers {
+        match verdict_of(answer).expect("an answer carries a verdict") {
+            RunVerdict::NotRun => assert_eq!(runs, 0, "told not-run"),
+            RunVerdict::Ran => {
+                assert_eq!(runs, 1, "told ran");
+                let text = String::from_utf8_lossy(answer.body()).into_owned();
+                assert!(text.contains(OWN) && text.ends_with("bytes\n"), "{text}");
+            }
+            RunVerdict::MayHaveRun => {}
+        }
+    }
+}
+
+/// Books under a fault of the links to the backend servers, then sends copies of the request
+/// through the other instance and, after the fault, through the home.
+fn check_booking(fault: Option<RelayFault>, allowed: &[RunVerdict]) {
+    let fleet = TestFleet::start(2, 2);
+    let (home, other) = (fleet.home(), fleet.other());
+    let ticket = fleet.ticket(home);
+    fleet.set_link_fault(fault);
+    let mut answers = vec![book(&fleet, home, &ticket)];
+    let first = verdict_of(&answers[0]).unwrap();
+    assert!(allowed.contains(&first), "{:?}", answers[0]);
+    answers.push(book(&fleet, other, &ticket));
+    fleet.set_link_fault(None);
+    answers.push(book(&fleet, home, &ticket));
+    assert_true_verdicts(&fleet, &ticket, &answers);
+    fleet.close();
+}
+
+const RAN: &[RunVerdict] = &[RunVerdict::Ran];
+const NOT_RUN: &[RunVerdict] = &[RunVerdict::NotRun];
+const UNKNOWN: &[RunVerdict] = &[RunVerdict::MayHaveRun];
+
+cases! { check_booking {
+    booking_without_fault: (None, RAN);
+    booking_cut_at_connect_once: (fault(Connect, Cut, 1), &[RunVerdict::Ran, RunVerdict::MayHaveRun]);
+    booking_cut_in_head: (fault(Request(20), Cut, 1), UNKNOWN);
+    booking_cut_in_body: (fault(Request(1_000), Cut, 1), UNKNOWN);
+    booking_cut_before_answer: (fault(Answer(0), Cut, 1), UNKNOWN);
+    booking_cut_in_answer_head: (fault(Answer(30), Cut, 1), UNKNOWN);
+    booking_cut_in_answer_body: (fault(Answer(180), Cut, 1), UNKNOWN);
+    booking_silent_at_connect: (fault(Connect, Silence, 1), UNKNOWN);
+    booking_silent_in_head: (fault(Request(20), Silence, 1), UNKNOWN);
+    booking_silent_in_body: (fault(Request(1_000), Silence, 1), UNKNOWN);
+    booking_silent_before_answer: (fault(Answer(0), Silence, 1), UNKNOWN);
+    booking_silent_in_answer_head: (fault(Answer(30), Silence, 1), UNKNOWN);
+    booking_silent_in_answer_body: (fault(Answer(180), Silence, 1), UNKNOWN);
+    booking_always_cut_in_body: (fault(Request(1_000), Cut, ALWAYS), UNKNOWN);
+    booking_always_cut_before_answer: (fault(Answer(0), Cut, ALWAYS), UNKNOWN);
+    booking_always_silent_before_answer: (fault(Answer(0), Silence, ALWAYS), UNKNOWN);
+} }
+
+/// Looks up under a fault that strikes once on each link; another try must answer.
+fn check_lookup(step: RelayStep, action: RelayAction) {
+    let fleet = TestFleet::start(2, 3);
+    for entry in [fleet.home(), fleet.other()] {
+        fleet.set_link_fault(None);
+        // Only one of the three links is faulty at a time.
+        fleet.relays[0].set_fault(fault(step, action, 1));
+        for _ in 0..4 {
+            let answer = fleet.call(entry, "GET", LOOKUP, &[("lacewing-deadline-ms", "2000")], "");
+            assert_eq!(verdict_of(&answer), Some(RunVerdict::Ran));
+            let text = String::from_utf8_lossy(answer.body()).into_owned();
+            assert!(text.contains(OWN) && text.ends_with("bytes\n"), "{text}");
+        }
+    }
+    fleet.close();
+}
+
+cases! { check_lookup {
+    lookup_cut_at_connect: (Connect, Cut);
+    lookup_cut_in_head: (Request(20), Cut);
+    lookup_cut_before_answer: (Answer(0), Cut);
+    lookup_cut_in_answer_head: (Answer(30), Cut);
+    lookup_cut_in_answer_body: (Answer(180), Cut);
+    lookup_silent_at_connect: (Connect, Silence);
+    lookup_silent_in_head: (Request(20), Silence);
+    lookup_silent_before_answer: (Answer(0), Silence);
+    lookup_silent_in_answer_head: (Answer(30), Silence);
+    lookup_silent_in_answer_body: (Answer(180), Silence);
+} }
+
+/// Books at backend servers that misbehave.
+fn check_server_fault(faults: BackendFaults, allowed: &[RunVerdict]) {
+    let fleet = TestFleet::start(2, 2);
+    let home = fleet.home();
+    let ticket = fleet.ticket(home);
+    for server in &fleet.servers {
+        server.set_faults(faults);
+    }
+    let mut answers = vec![book(&fleet, home, &ticket), book(&fleet, fleet.other(), &ticket)];
+    let first = verdict_of(&answers[0]).unwrap();
+    assert!(allowed.contains(&first), "{first}");
+    for server in &fleet.servers {
+        server.set_faults(BackendFaults::default());
+    }
+    answers.push(book(&fleet, home, &ticket));
+    if !faults.fail_fast {
+        assert_true_verdicts(&fleet, &ticket, &answers);
+    }
+    fleet.close();
+}
+
+const CALM: BackendFaults = BackendFaults {
+    slow: model::Millis(0),
+    shed: false,
+    fail_fast: false,
+    cut_answers: false,
+    hang: false,
+};
+
+cases! { check_server_fault {
+    servers_shed: (BackendFaults { shed: true, ..CALM }, NOT_RUN);
+    servers_fail_fast: (BackendFaults { fail_fast: true, ..CALM }, RAN);
+    servers_cut_answers: (BackendFaults { cut_answers: true, ..CALM }, UNKNOWN);
+    servers_hang: (BackendFaults { hang: true, ..CALM }, UNKNOWN);
+    servers_slower_than_the_deadline: (BackendFaults { slow: model::Millis(900), ..CALM }, UNKNOWN);
+} }
+
+/// Sends a part of a booking on a connection of its own, closes it or leaves it silent, then sends
+/// whole copies.
+fn check_caller_fault(bytes: usize, closes: bool) {
+    let fleet = TestFleet::start(2, 2);
+    let home = fleet.home();
+    let ticket = fleet.ticket(home);
+    let body = "b".repeat(2_000);
+    let request = format!(
+        "POST {BOOK} HTTP/1.1\r\nhost: t\r\nlacewing-ticket: {ticket}\r\n\
+         lacewing-deadline-ms: {ALLOWED_MS}\r\ncontent-length: 2000\r\n\r\n{body}"
+    );
+    let sent = &request.as_bytes()[..bytes.min(request.len())];
+    let mut stream = TcpStream::connect(fleet.caller_address(home)).unwrap();
+    stream.write_all(sent).unwrap();
+    if closes {
+        stream.shutdown(Shutdown::Both).unwrap();
+    }
+    let answers = vec![book(&fleet, fleet.other(), &ticket), book(&fleet, home, &ticket)];
+    assert_eq!(verdict_of(&answers[0]), Some(RunVerdict::Ran));
+    assert_eq!(answers[0].body(), answers[1].body());
+    assert_true_verdicts(&fleet, &ticket, &answers);
+    fleet.close();
+}
+
+cases! { check_caller_fault {
+    caller_cuts_in_head: (30, true);
+    caller_cuts_in_body: (1_000, true);
+    caller_cuts_after_request: (usize::MAX, true);
+    caller_silent_in_head: (30, false);
+    caller_silent_in_body: (1_000, false);
+    caller_silent_after_request: (usize::MAX, false);
+} }
+
+/// When the owner of a ticket ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnerStep {
+    BeforeUse,
+    WhileRunning,
+    AfterAnswer,
+}
+
+/// Ends the owner of a ticket without warning, with or without a successor of the same name, and
+/// sends a copy through the other instance.
+fn check_owner_end(step: OwnerStep, successor: bool, allowed: &[RunVerdict]) {
+    let mut fleet = TestFleet::start(3, 2);
+    let home = fleet.home();
+    let ticket = fleet.ticket(home);
+    let mut answers = Vec::new();
+    let slow = BackendFaults { slow: model::Millis(300), ..CALM };
+    match step {
+        OwnerStep::BeforeUse => {}
+        OwnerStep::AfterAnswer => answers.push(book(&fleet, home, &ticket)),
+        OwnerStep::WhileRunning => {
+            for server in &fleet.servers {
+                server.set_faults(slow);
+            }
+            let mut stream = TcpStream::connect(fleet.caller_address(home)).unwrap();
+            let head = format!(
+                "POST {BOOK} HTTP/1.1\r\nhost: t\r\nlacewing-ticket: {ticket}\r\ncontent-length: 1\r\n\r\nb"
+            );
+            stream.write_all(head.as_bytes()).unwrap();
+            wait_until("the work runs", || fleet.ledger().runs.contains_key(ticket.as_str()));
+        }
+    }
+    let name = fleet.traffic(home).settings.name.to_string();
+    fleet.entries.remove(home).abort();
+    if successor {
+        let number = name.rsplit_once('-').unwrap().1.parse().unwrap();
+        let entry = fleet.start_entry(number, "");
+        fleet.entries.push(entry);
+        let successor = fleet.entries.len() - 1;
+        wait_until("the successor serves", || {
+            fleet.traffic(successor).view.load().config.is_some()
+        });
+    }
+    for entry in 0..fleet.entries.len() {
+        let answer = book(&fleet, entry, &ticket);
+        let verdict = verdict_of(&answer).unwrap();
+        assert!(allowed.contains(&verdict), "{verdict}");
+        answers.push(answer);
+    }
+    assert_true_verdicts(&fleet, &ticket, &answers);
+    fleet.close();
+}
+
+cases! { check_owner_end {
+    owner_ends_before_use: (OwnerStep::BeforeUse, false, UNKNOWN);
+    owner_ends_while_running: (OwnerStep::WhileRunning, false, UNKNOWN);
+    owner_ends_after_answer: (OwnerStep::AfterAnswer, false, UNKNOWN);
+    owner_replaced_before_use: (OwnerStep::BeforeUse, true, UNKNOWN);
+    owner_replaced_while_running: (OwnerStep::WhileRunning, true, UNKNOWN);
+    owner_replaced_after_answer: (OwnerStep::AfterAnswer, true, UNKNOWN);
+} }
+
+/// Copies of one booking arrive at the same time through all instances.
+#[test]
+fn copies_at_the_same_time_run_once_and_share_one_answer() {
+    let fleet = TestFleet::start(3, 2);
+    let ticket = fleet.ticket(fleet.home());
+    let request = format!(
+        "POST {BOOK} HTTP/1.1\r\nhost: t\r\nconnection: close\r\nlacewing-ticket: {ticket}\r\n\
+         content-length: 1\r\n\r\nb"
+    );
+    let mut streams: Vec<TcpStream> = (0..12)
+        .map(|copy| {
+            let mut stream = TcpStream::connect(fleet.caller_address(copy % 3)).unwrap();
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            stream.write_all(request.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    let bodies: Vec<String> = streams
+        .iter_mut()
+        .map(|stream| {
+            let mut text = String::new();
+            stream.read_to_string(&mut text).unwrap();
+            assert!(text.contains("lacewing-verdict: ran"), "{text}");
+            text.rsplit_once("\r\n\r\n").unwrap().1.to_owned()
+        })
+        .collect();
+    assert!(bodies.iter().all(|body| *body == bodies[0]), "{bodies:?}");
+    assert_eq!(fleet.ledger().runs.get(ticket.as_str()), Some(&1));
+    fleet.close();
+}
+
+/// A caller's own key runs at most once, and only by its declared first attempt.
+fn check_own_key(attempts: &[Option<&str>], expected: &[RunVerdict]) {
+    let fleet = TestFleet::start(2, 2);
+    let home = fleet.home();
+    for (attempt, expected) in attempts.iter().zip(expected) {
+        let mut headers = vec![("idempotency-key", "order-5")];
+        headers.extend(attempt.map(|number| ("lacewing-attempt", number)));
+        let answer = fleet.call(home, "POST", BOOK, &headers, "b");
+        assert_eq!(verdict_of(&answer), Some(*expected));
+    }
+    let runs: u32 = fleet.ledger().runs.values().sum();
+    assert!(runs <= 1, "ran {runs} times");
+    fleet.close();
+}
+
+cases! { check_own_key {
+    first_attempt_runs: (&[Some("1")], RAN);
+    repeat_gets_the_answer: (&[Some("1"), Some("2")], &[RunVerdict::Ran, RunVerdict::Ran]);
+    undeclared_attempt_is_not_run_here: (&[None], UNKNOWN);
+    repeat_without_the_first: (&[Some("2")], UNKNOWN);
+} }
+
+/// A pause that lets late copies arrive; nothing is judged by its length.
+#[test]
+fn late_copy_of_a_refused_booking_never_runs() {
+    let fleet = TestFleet::start(2, 1);
+    let home = fleet.home();
+    let ticket = fleet.ticket(home);
+    fleet.servers[0].set_faults(BackendFaults { shed: true, ..CALM });
+    let mut answers = vec![book(&fleet, home, &ticket)];
+    assert_eq!(verdict_of(&answers[0]), Some(RunVerdict::NotRun));
+    fleet.servers[0].set_faults(CALM);
+    std::thread::sleep(Duration::from_millis(50));
+    for entry in [home, fleet.other()] {
+        answers.push(book(&fleet, entry, &ticket));
+        assert_eq!(verdict_of(answers.last().unwrap()), Some(RunVerdict::NotRun));
+    }
+    assert_true_verdicts(&fleet, &ticket, &answers);
+    fleet.close();
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -2,6 +2,10 @@
 
 #![allow(dead_code)]
 
+pub mod relay;
+
+use relay::{FaultRelay, RelayFault};
+
 use bytes::Bytes;
 use entry::{EntryInstance, TrafficState};
 use http::{Method, Request, Response};
@@ -30,6 +34,8 @@
     pub store: StandinStore,
     pub servers: Vec<StandinBackend>,
     pub entries: Vec<EntryInstance>,
+    /// Relays before the backend servers, in their order.
+    pub relays: Vec<FaultRelay>,
     pool: LinkPool,
 }
 
@@ -49,6 +55,7 @@
             store,
             servers: Vec::new(),
             entries: Vec::new(),
+            relays: Vec::new(),
             pool: LinkPoolBuilder::default().build(),
         };
         for number in 0..entries {
@@ -71,7 +78,9 @@
                 .service_time(Duration::from_millis(2))
                 .build();
             let server = fleet.runtime.block_on(StandinBackend::start(settings)).unwrap();
-            let address = server.address();
+            let relay = FaultRelay::start(fleet.runtime.handle(), server.address());
+            let address = relay.address();
+            fleet.relays.push(relay);
             batch.push_str(&format!("create server server-{number} in orders at {address};\n"));
             fleet.servers.push(server);
         }
@@ -166,6 +175,13 @@
         answer.tickets[0].to_string()
     }
 
+    /// Sets the fault of the links to all backend servers.
+    pub fn set_link_fault(&self, fault: Option<RelayFault>) {
+        for relay in &self.relays {
+            relay.set_fault(fault);
+        }
+    }
+
     /// Runs of the backend servers so far.
     pub fn ledger(&self) -> LedgerReport {
         let mut ledger = LedgerReport::default();
