--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -89,6 +89,7 @@
         fleet
     }
 
+    /// Starts an instance; `further` is added to the section `fleet` and may open others.
     pub fn start_entry(&self, number: usize, further: &str) -> EntryInstance {
         let text = format!(
             "[instance]\nname = entry-{number}\ndata_centre = dc-{number}\n\
@@ -118,8 +119,11 @@
 
     /// An instance that passes calls for `orders` on.
     pub fn other(&self) -> usize {
-        let home = self.home();
-        (0..self.entries.len()).find(|entry| *entry != home).unwrap()
+        self.other_than(self.home())
+    }
+
+    pub fn other_than(&self, entry: usize) -> usize {
+        (0..self.entries.len()).find(|other| *other != entry).unwrap()
     }
 
     pub fn command(&self, entry: usize, text: &str) -> CommandAnswer {
@@ -168,6 +172,16 @@
         self.exchange(self.caller_address(entry), request).unwrap()
     }
 
+    /// Sends a lookup to an instance and gives its verdict.
+    pub fn lookup(&self, entry: usize) -> Option<RunVerdict> {
+        verdict_of(&self.call(entry, "GET", "/v1/call/orders/lookup", &[], ""))
+    }
+
+    /// The version in force at an instance.
+    pub fn version(&self, entry: usize) -> u64 {
+        self.traffic(entry).view.load().version().0
+    }
+
     /// Takes a ticket for `orders` from an instance.
     pub fn ticket(&self, entry: usize) -> String {
         let answer = self.call(entry, "POST", "/v1/tickets/orders", &[], "");
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -136,6 +136,7 @@
     in_flight: AtomicU32,
     waiting: AtomicU32,
     probes: AtomicU64,
+    begun: AtomicU64,
     draining: AtomicBool,
     faults: Mutex<BackendFaults>,
     random: Mutex<SmallRng>,
@@ -167,6 +168,7 @@
             in_flight: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
             probes: AtomicU64::new(0),
+            begun: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             faults: Mutex::default(),
             random: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
@@ -202,6 +204,11 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Requests that began to run so far.
+    pub fn begun(&self) -> u64 {
+        self.shared.begun.load(Ordering::Relaxed)
+    }
+
     /// Begins to drain: answers say so from now on.
     pub fn drain(&self) {
         self.shared.draining.store(true, Ordering::Relaxed);
@@ -316,6 +323,7 @@
     };
     drop(counted);
     shared.in_flight.fetch_add(1, Ordering::Relaxed);
+    shared.begun.fetch_add(1, Ordering::Relaxed);
     Some(RunningWork { shared: Arc::clone(shared), _slot: slot })
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -100,6 +100,12 @@
         *lock(&self.shared.faults) = faults;
     }
 
+    /// Lists a backend server as live or leaving.
+    pub fn list_server(&self, address: SocketAddr, leaving: bool) {
+        let server = ListedServer { address, leaving };
+        lock(&self.shared.state).list_server(Instant::now(), server);
+    }
+
     /// Makes all leases lapse.
     pub fn lapse_leases(&self) {
         lock(&self.shared.state).lapse_leases();
