Add a bench that compares dispatch rules side by side with separate processes

Baselines (random, least in flight, two choices by reports) stand behind the product's trait and are chosen by a setting that serves the bench alone.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod learn;
 pub mod probe;
 pub mod queue;
+pub mod rules;
 pub mod slots;
 pub mod ticket;
 
@@ -18,6 +19,7 @@
 pub use queue::{
     QueueCounters, QueueEffect, QueueId, QueuedRequest, RefusalCause, ServiceQueue, SlotReport,
 };
+pub use rules::RuleName;
 pub use slots::{
     DispatchRule, LateBinding, ServerSlots, ServerState, ServerView, SlotOutcome, SlotTable,
 };
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -191,7 +191,8 @@
     context: &'a CallContext<'_>,
 ) -> Option<&'a InstanceRecord> {
     let view = &context.view;
-    if view.home_rank(&context.call.service).is_some() {
+    let is_home = view.home_rank(&context.call.service).is_some();
+    if is_home || !traffic.settings.rule.uses_homes() {
         return None;
     }
     let homes = &view.homes.get(&context.call.service)?.homes;
--- a/crates/entry/src/caller_port.rs
+++ b/crates/entry/src/caller_port.rs
@@ -60,7 +60,10 @@
     let Some(service_config) = config.services.get(&service) else {
         return refuse(CallRefusal::UnknownService);
     };
-    let homes = view.homes.get(&service).cloned().unwrap_or_default();
+    let mut homes = view.homes.get(&service).cloned().unwrap_or_default();
+    if !traffic.settings.rule.uses_homes() {
+        homes.homes = vec![view.this.name.clone()];
+    }
     let names = homes.homes.iter().chain(&homes.standbys);
     let mut addresses: Vec<SocketAddr> = names
         .filter_map(|name| view.members.get(name))
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -2,8 +2,8 @@
 
 use dispatch::slots::SlotGrant;
 use dispatch::{
-    LateBinding, QueueCounters, QueueEffect, QueueId, QueuedRequest, RefusalCause, RetryBudget,
-    RouteMemory, ServerSlots, ServerView, ServiceQueue, SlotOutcome, SlotReport,
+    QueueCounters, QueueEffect, QueueId, QueuedRequest, RefusalCause, RetryBudget, RouteMemory,
+    RuleName, ServerSlots, ServerView, ServiceQueue, SlotOutcome, SlotReport,
 };
 use model::{CallerName, IncarnationId, Millis, MonoTime, ProcessClock, ServerName, WorkClass};
 use std::collections::HashMap;
@@ -66,8 +66,8 @@
 
 impl ServiceRuntime {
     /// Starts without backend servers.
-    pub fn new(clock: ProcessClock) -> Self {
-        let queue = ServiceQueue::new(Box::new(LateBinding::default()));
+    pub fn new(clock: ProcessClock, rule: RuleName) -> Self {
+        let queue = ServiceQueue::new(rule.rule());
         let core = QueueCore {
             queue,
             waiters: HashMap::new(),
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -95,7 +95,8 @@
         let mut services = HashMap::new();
         for (name, service) in &config.services {
             let runtime = known.get(name).cloned();
-            let runtime = runtime.unwrap_or_else(|| Arc::new(ServiceRuntime::new(self.clock)));
+            let runtime = runtime
+                .unwrap_or_else(|| Arc::new(ServiceRuntime::new(self.clock, self.settings.rule)));
             let servers = server_slots(&view, name, service);
             runtime.configure(servers, service.long_yield.span());
             services.insert(name.clone(), runtime);
--- a/crates/programs/src/bin/lacewing-load.rs
+++ b/crates/programs/src/bin/lacewing-load.rs
@@ -44,6 +44,9 @@
     /// Time allowed to a call, in milliseconds
     #[bpaf(argument("MS"), fallback(2000))]
     deadline_ms: u64,
+    /// How many times the common rate the first caller sends
+    #[bpaf(argument("FACTOR"), fallback(1.0))]
+    heavy: f64,
     /// Seed of all random choices
     #[bpaf(argument("SEED"), fallback(1))]
     seed: u64,
@@ -68,6 +71,7 @@
         long: Duration::from_millis(options.long_ms),
         straggler_share: options.stragglers,
         deadline: Duration::from_millis(options.deadline_ms),
+        heavy: options.heavy,
         seed: options.seed,
     };
     let runtime =
--- a/crates/programs/src/demo.rs
+++ b/crates/programs/src/demo.rs
@@ -198,6 +198,7 @@
         long: Duration::from_millis(100),
         straggler_share: 0.004,
         deadline: Duration::from_secs(2),
+        heavy: 1.0,
         seed: 1,
     }
 }
--- a/crates/programs/src/load.rs
+++ b/crates/programs/src/load.rs
@@ -43,6 +43,8 @@
     pub straggler_share: f64,
     /// Time allowed to each call.
     pub deadline: Duration,
+    /// How many times the common rate the first caller sends; its calls are counted apart.
+    pub heavy: f64,
     /// Seed of all random choices.
     pub seed: u64,
 }
@@ -88,6 +90,7 @@
     Straggler,
     Long,
     Booking,
+    Heavy,
 }
 
 impl RequestKind {
@@ -97,6 +100,7 @@
             Self::Straggler => "straggler",
             Self::Long => "long",
             Self::Booking => "booking",
+            Self::Heavy => "heavy",
         }
     }
 }
@@ -181,8 +185,11 @@
             continue;
         }
         number += 1;
-        let client = Arc::clone(&callers[random.random_range(0..callers.len())]);
+        let caller = pick_caller(plan, &mut random);
+        let client = Arc::clone(&callers[caller]);
         let kind = pick_kind(plan, &mut random);
+        let is_heavy = plan.heavy > 1.0 && caller == 0 && kind == RequestKind::Short;
+        let kind = if is_heavy { RequestKind::Heavy } else { kind };
         let call = LoadCall { plan: plan.clone(), kind, number };
         tasks.spawn(call.run(client, Arc::clone(&record)));
     }
@@ -204,6 +211,23 @@
     }
 }
 
+/// Callers send at rates that differ by up to 30%; the first one may send many times more.
+fn pick_caller(plan: &LoadPlan, random: &mut SmallRng) -> usize {
+    let count = plan.callers.max(1) as usize;
+    let heavy_share = plan.heavy / (plan.heavy + count as f64 - 1.0);
+    if plan.heavy > 1.0 && random.random_bool(heavy_share) {
+        return 0;
+    }
+    let first = usize::from(plan.heavy > 1.0 && count > 1);
+    loop {
+        let caller = random.random_range(first..count);
+        let unevenness = 0.7 + 0.3 * (caller % 3) as f64;
+        if random.random_bool(unevenness / 1.3) {
+            return caller;
+        }
+    }
+}
+
 fn pick_kind(plan: &LoadPlan, random: &mut SmallRng) -> RequestKind {
     let draw: f64 = random.random();
     if draw < plan.bookings {
@@ -228,11 +252,11 @@
     async fn run(self, client: Arc<CallerClient>, record: Arc<Mutex<LoadRecord>>) {
         let plan = &self.plan;
         let work = match self.kind {
-            RequestKind::Short | RequestKind::Booking => plan.short,
+            RequestKind::Short | RequestKind::Booking | RequestKind::Heavy => plan.short,
             RequestKind::Straggler | RequestKind::Long => plan.long,
         };
         let route = match self.kind {
-            RequestKind::Short | RequestKind::Straggler => "lookup",
+            RequestKind::Short | RequestKind::Straggler | RequestKind::Heavy => "lookup",
             RequestKind::Long => "report",
             RequestKind::Booking => "book",
         };
--- a/crates/settings/src/daemon.rs
+++ b/crates/settings/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry instance.
 
 use crate::reader::{SettingsErrors, SettingsReader};
+use dispatch::RuleName;
 use model::{ByteCount, DataCentre, InstanceName, Millis};
 use smol_str::SmolStr;
 use std::fmt;
@@ -102,6 +103,8 @@
     pub stale_limit: Millis,
     /// Longest time that a stop may take.
     pub stop_limit: Millis,
+    /// Rule that picks backend servers; others than the default serve the bench alone.
+    pub rule: RuleName,
     /// Form of the log lines.
     pub log_format: LogFormat,
     /// Events kept for the time line.
@@ -143,6 +146,8 @@
             reader.with_default("traffic", "isolated_after_ms", millis, Millis(5_000));
         let stale_limit = reader.with_default("traffic", "stale_limit_ms", millis, Millis(0));
         let stop_limit = reader.with_default("traffic", "stop_limit_ms", millis, Millis(30_000));
+        let rule =
+            reader.with_default("bench", "rule", "the name of a rule", RuleName::LateBinding);
         let log_format = reader.with_default("log", "format", "text or json", LogFormat::Text);
         let timeline_events = reader.with_default("timeline", "events", "a count", 32_768);
         reader.close()?;
@@ -176,6 +181,7 @@
             isolated_after,
             stale_limit,
             stop_limit,
+            rule,
             log_format,
             timeline_events,
         })
--- a/crates/xtask/src/chaos.rs
+++ b/crates/xtask/src/chaos.rs
@@ -2,7 +2,7 @@
 //! servers, rival operators. The verdicts that callers saw are checked against the ledgers.
 
 use crate::ci::build_release;
-use crate::fleet::{FleetSize, ProcessFleet, SERVICE};
+use crate::fleet::{FleetPlan, ProcessFleet, SERVICE};
 use anyhow::{Result, ensure};
 use model::operator::CommandAnswer;
 use model::{Millis, RunVerdict};
@@ -16,8 +16,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// Entry instances and backend servers of a run.
-const SIZE: FleetSize = FleetSize { entries: 6, servers: 8 };
+/// Entry instances of a run.
+const ENTRIES: u16 = 6;
+/// Backend servers of a run.
+const SERVERS: u16 = 8;
 /// Time after the load in which late work may still run before the ledgers are read.
 const SETTLE_SPAN: Duration = Duration::from_secs(8);
 /// Longest pause between faults.
@@ -66,8 +68,8 @@
 }
 
 async fn chaos(seed: u64, span: Duration, rate: f64) -> Result<()> {
-    let mut fleet = ProcessFleet::start(SIZE).await?;
-    fleet.operator(0).send(&fleet.service_batch(), None).await?;
+    let mut fleet = ProcessFleet::start(&FleetPlan::new(ENTRIES, SERVERS)).await?;
+    fleet.operator(0).send(&fleet.service_batch(&fleet.servers), None).await?;
     let plan = load_plan(&fleet, seed, span, rate)?;
     let load = tokio::spawn(async move { run_load(&plan).await });
     let mut random = SmallRng::seed_from_u64(seed);
@@ -105,6 +107,7 @@
         long: Duration::from_millis(100),
         straggler_share: 0.004,
         deadline: Duration::from_secs(3),
+        heavy: 1.0,
         seed,
     })
 }
--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -29,13 +29,26 @@
 /// How long an administrative call may take.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How many processes of each kind.
-#[derive(Debug, Clone, Copy)]
-pub struct FleetSize {
+/// What processes to start.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
     /// Entry instances.
     pub entries: u16,
     /// Backend servers.
     pub servers: u16,
+    /// Data centres over which the entry instances are spread.
+    pub centres: u16,
+    /// First port; each process has the next ones.
+    pub first_port: u16,
+    /// Further settings of the entry instances.
+    pub settings: String,
+}
+
+impl FleetPlan {
+    /// So many processes in four data centres.
+    pub fn new(entries: u16, servers: u16) -> Self {
+        Self { entries, servers, centres: 4, first_port: FIRST_PORT, settings: String::new() }
+    }
 }
 
 /// A process of the fleet.
@@ -128,12 +141,13 @@
 
 impl ProcessFleet {
     /// Starts all processes and waits until the instances know each other.
-    pub async fn start(size: FleetSize) -> Result<Self> {
+    pub async fn start(plan: &FleetPlan) -> Result<Self> {
         let programs = std::env::current_dir()?.join("target/release");
-        let directory = std::env::current_dir()?.join("target/fleet");
+        let directory = format!("target/fleet/{}", plan.first_port);
+        let directory = std::env::current_dir()?.join(directory);
         let _ = std::fs::remove_dir_all(&directory);
         std::fs::create_dir_all(&directory)?;
-        let mut port = FIRST_PORT;
+        let mut port = plan.first_port;
         let mut next_port = |count| {
             port += count;
             port - count
@@ -150,7 +164,7 @@
             ],
         )?;
         let mut servers = Vec::new();
-        for number in 0..size.servers {
+        for number in 0..plan.servers {
             let name = format!("server-{number}");
             let address = loopback(next_port(1));
             servers.push(start_process(
@@ -167,11 +181,11 @@
             )?);
         }
         let mut entries = Vec::new();
-        for number in 0..size.entries {
+        for number in 0..plan.entries {
             let name = format!("entry-{number}");
             let port = next_port(ENTRY_PORTS);
             let settings = directory.join(format!("{name}.ini"));
-            std::fs::write(&settings, entry_settings(&name, number, port, store_address))?;
+            std::fs::write(&settings, entry_settings(plan, number, port, store_address))?;
             entries.push(start_process(
                 &directory,
                 &name,
@@ -199,12 +213,12 @@
     }
 
     /// Commands that create the service.
-    pub fn service_batch(&self) -> String {
+    pub fn service_batch(&self, servers: &[FleetProcess]) -> String {
         let mut batch = format!(
             "create service {SERVICE} (deadline_ms = 2000, keep_ms = 2000);\n\
              create rule in {SERVICE} route \"/report\" (class = long);\n"
         );
-        for server in &self.servers {
+        for server in servers {
             let line =
                 format!("create server {} in {SERVICE} at {};\n", server.name, server.address);
             batch.push_str(&line);
@@ -292,23 +306,18 @@
     Ok(process)
 }
 
-fn entry_settings(name: &str, number: u16, port: u16, store: SocketAddr) -> String {
+fn entry_settings(plan: &FleetPlan, number: u16, port: u16, store: SocketAddr) -> String {
+    let peer_port = |entry: u16| port - number * ENTRY_PORTS + entry * ENTRY_PORTS + 2;
+    let seeds: Vec<String> = (0..2).map(|entry| loopback(peer_port(entry)).to_string()).collect();
     format!(
-        "[instance]\nname = {name}\ndata_centre = dc-{}\ncaller_address = {}\n\
+        "[instance]\nname = entry-{number}\ndata_centre = dc-{}\ncaller_address = {}\n\
          operator_address = {}\npeer_address = {}\n[platform]\naddress = {store}\n\
-         timeout_ms = 500\n[fleet]\ntoken = {TOKEN}\nseeds = {}\n",
-        number % 4,
+         timeout_ms = 500\n[fleet]\ntoken = {TOKEN}\nseeds = {}\n{}",
+        number % plan.centres,
         loopback(port),
         loopback(port + 1),
         loopback(port + 2),
-        (0..2)
-            .map(|seed| loopback(entry_peer_port(port, number, seed)).to_string())
-            .collect::<Vec<_>>()
-            .join(","),
+        seeds.join(","),
+        plan.settings,
     )
 }
-
-/// The peer port of the entry instance with the given number.
-fn entry_peer_port(port: u16, number: u16, seed: u16) -> u16 {
-    port - number * ENTRY_PORTS + seed * ENTRY_PORTS + 2
-}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores of the project: checks, runs of the programs as separate processes, runs under faults.
 
+mod bench;
 mod chaos;
 mod ci;
 mod fleet;
@@ -18,6 +19,37 @@
     /// Run the programs as separate processes and show what they print
     #[bpaf(command)]
     Processes,
+    /// Compare the dispatch rules under load
+    #[bpaf(command)]
+    Bench {
+        /// Entry instances
+        #[bpaf(argument("COUNT"), fallback(16))]
+        entries: u16,
+        /// Backend servers
+        #[bpaf(argument("COUNT"), fallback(25))]
+        servers: u16,
+        /// Data centres
+        #[bpaf(argument("COUNT"), fallback(4))]
+        centres: u16,
+        /// How many times longer all times are than in the users' sizes
+        #[bpaf(argument("FACTOR"), fallback(5))]
+        scale: u64,
+        /// Rate as a share of what the slots can serve; may be given several times
+        #[bpaf(argument("LOAD"), many)]
+        load: Vec<f64>,
+        /// Seed; may be given several times
+        #[bpaf(argument("SEED"), many)]
+        seed: Vec<u64>,
+        /// Length of each run, in seconds
+        #[bpaf(argument("SECONDS"), fallback(8))]
+        seconds: u64,
+        /// How many times the common rate the first caller sends
+        #[bpaf(argument("FACTOR"), fallback(1.0))]
+        heavy: f64,
+        /// Folder for the report
+        #[bpaf(argument("FOLDER"), fallback("target/bench".into()))]
+        output: std::path::PathBuf,
+    },
     /// Run the programs as separate processes under random faults and check the promises
     #[bpaf(command)]
     Chaos {
@@ -37,6 +69,27 @@
     match chore_options().run() {
         ChoreOptions::Ci => ci::run_ci(),
         ChoreOptions::Processes => processes::run_processes(),
+        ChoreOptions::Bench {
+            entries,
+            servers,
+            centres,
+            scale,
+            load,
+            seed,
+            seconds,
+            heavy,
+            output,
+        } => bench::run_bench(&bench::BenchPlan {
+            entries,
+            servers,
+            centres,
+            scale,
+            loads: if load.is_empty() { vec![0.5, 0.8, 0.95] } else { load },
+            seeds: if seed.is_empty() { vec![1, 2, 3] } else { seed },
+            span: std::time::Duration::from_secs(seconds),
+            heavy,
+            output,
+        }),
         ChoreOptions::Chaos { seed, seconds, rate } => chaos::run_chaos(seed, seconds, rate),
     }
 }
--- a/crates/xtask/src/processes.rs
+++ b/crates/xtask/src/processes.rs
@@ -1,7 +1,7 @@
 //! Runs the programs as separate processes and shows what they print.
 
 use crate::ci::build_release;
-use crate::fleet::{FleetSize, ProcessFleet, SERVICE, TOKEN};
+use crate::fleet::{FleetPlan, ProcessFleet, SERVICE, TOKEN};
 use anyhow::{Context, Result, ensure};
 use std::process::Command;
 
@@ -9,8 +9,8 @@
 pub fn run_processes() -> Result<()> {
     build_release()?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-    let fleet = runtime.block_on(ProcessFleet::start(FleetSize { entries: 3, servers: 4 }))?;
-    run_tool(&fleet, &["run", &fleet.service_batch()])?;
+    let fleet = runtime.block_on(ProcessFleet::start(&FleetPlan::new(3, 4)))?;
+    run_tool(&fleet, &["run", &fleet.service_batch(&fleet.servers)])?;
     run_tool(&fleet, &["run", "show services; show instances"])?;
     let entries: Vec<String> =
         fleet.entries.iter().map(|entry| format!("--entry={}", entry.address)).collect();
