--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -85,6 +85,11 @@
         Ok(kill_process(pid, signal)?)
     }
 
+    /// The process id, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Waits until the process ended; gives its exit code, or none after a signal.
     pub fn wait(&mut self) -> Result<Option<i32>> {
         match self.child.take() {
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,8 +1,11 @@
 //! Chores of the project: checks, runs of the programs as separate processes, runs under faults.
 
+mod account;
+mod added;
 mod bench;
 mod chaos;
 mod ci;
+mod control;
 mod fleet;
 mod processes;
 
@@ -19,6 +22,16 @@
     /// Run the programs as separate processes and show what they print
     #[bpaf(command)]
     Processes,
+    /// Measure what an instance adds to a call
+    #[bpaf(command)]
+    Added,
+    /// Measure what control costs an instance at several sizes
+    #[bpaf(command)]
+    Control {
+        /// Length of each measurement, in seconds
+        #[bpaf(argument("SECONDS"), fallback(12))]
+        seconds: u64,
+    },
     /// Compare the dispatch rules under load
     #[bpaf(command)]
     Bench {
@@ -69,6 +82,10 @@
     match chore_options().run() {
         ChoreOptions::Ci => ci::run_ci(),
         ChoreOptions::Processes => processes::run_processes(),
+        ChoreOptions::Added => added::run_added(),
+        ChoreOptions::Control { seconds } => {
+            control::run_control(std::time::Duration::from_secs(seconds))
+        }
         ChoreOptions::Bench {
             entries,
             servers,
