--- a/crates/change/tests/acceptance.rs
+++ b/crates/change/tests/acceptance.rs
@@ -240,3 +240,22 @@
     }
     assert_eq!(store.0.into_inner().unwrap().writes, 1);
 }
+
+#[test]
+fn all_orders_of_four_write_faults_are_told_truly() {
+    let all =
+        [F::None, F::ReplyLost, F::RequestLost, F::Late, F::LateAfterNext, F::Rival, F::Refused];
+    let any = [Told::Accepted, Told::NotAccepted, Told::Undetermined];
+    let mut count = 0;
+    for first in all {
+        for second in all {
+            for third in all {
+                for fourth in all {
+                    check_acceptance(&[first, second, third, fourth], &any);
+                    count += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(count, 2_401);
+}
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -175,14 +175,14 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 enum TicketPhase {
     Unused,
     InProgress,
     Ended(TicketEnd),
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct TicketEntry {
     issued: MonoTime,
     phase: TicketPhase,
@@ -241,7 +241,7 @@
 type BoundKey = (CallerName, ServiceName, SmolStr);
 
 /// The tickets that one process issued, and how each ended.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct TicketTable {
     limits: TicketLimits,
     /// Tickets by serial, the first of which is `first`.
