Try a second way beside a slow call instead of cutting it off

Cause: home_stops with work of 2.7 s in a deadline of 5 s ended may-have-run: a lookup that took more than half of its time was cut and sent again, and so was every further try. A straggler could never be answered in the second half of its deadline. Ruled out: the stop itself (the same without it). Change: after half of the time a second way is tried at the same time, within the retry budget, and the first answer counts; the caller library does the same with its second address. Before: home_stops and other_instance_stops failed.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -2,6 +2,7 @@
 //! work that must not repeat.
 
 use bytes::Bytes;
+use futures::future::{Either, select};
 use http::{Method, Request, Response, header};
 use http_body_util::Full;
 use link::{ConnectionChoice, LinkError, LinkPool, LinkPoolBuilder, SendProof};
@@ -15,13 +16,14 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long one instance may take to answer a question about addresses or tickets.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Share of the time left that an instance may take for a lookup before the next one is tried.
-const FIRST_TRY_SHARE: f64 = 0.5;
+/// Time beyond its deadline in which an instance can still say how a call ended.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Tickets taken at once.
 const TICKET_BATCH: u32 = 8;
 /// Tickets are not used in the last part of their validity.
@@ -120,22 +122,7 @@
         let body = Bytes::new();
         let parts = CallParts { service, method: Method::GET, path, body, request, ticket: None };
         let started = Instant::now();
-        let deadline = started + allowed;
-        let mut progress = CallProgress::new(started);
-        while Instant::now() < deadline {
-            for address in self.addresses(service).await {
-                let left = deadline.saturating_duration_since(Instant::now());
-                let until = Instant::now() + left.mul_f64(FIRST_TRY_SHARE);
-                match self.try_call(&parts, address, deadline, until, &mut progress).await {
-                    Ok(answer) => return progress.answered(&answer, None),
-                    Err(_) if Instant::now() >= deadline => break,
-                    Err(_) => {}
-                }
-            }
-            self.forget_addresses(service);
-            tokio::time::sleep(TRY_PAUSE).await;
-        }
-        progress.unanswered(None)
+        self.call_hedged(&parts, started, started + allowed).await.report(started, None)
     }
 
     /// Sends work that must not repeat, under a ticket.
@@ -150,7 +137,7 @@
     ) -> CallReport {
         let started = Instant::now();
         let deadline = started + allowed;
-        let mut progress = CallProgress::new(started);
+        let mut tries = 0;
         while Instant::now() < deadline {
             let Some(ticket) = self.take_ticket(service).await else {
                 tokio::time::sleep(TRY_PAUSE).await;
@@ -164,41 +151,72 @@
                 request: None,
                 ticket: Some(ticket.clone()),
             };
-            if let Some(answer) = self.try_ticket(&parts, deadline, &mut progress).await {
-                return progress.answered(&answer, Some(ticket));
-            }
-            if progress.may_have_run {
-                return progress.unanswered(Some(ticket));
+            let mut end = self.call_hedged(&parts, started, deadline).await;
+            end.tries += tries;
+            if end.answer.is_some() || end.may_have_run {
+                return end.report(started, Some(ticket));
             }
             // No byte of a request with this ticket was written, so another one is safe.
+            tries = end.tries;
             self.drop_tickets(service);
         }
-        progress.unanswered(None)
+        CallEnd { tries, ..CallEnd::default() }.report(started, None)
+    }
+
+    /// Calls by the first address; when half of the time has passed, also by the second. The first
+    /// try is not cut off, since the request may only be a straggler.
+    async fn call_hedged(
+        &self,
+        parts: &CallParts<'_>,
+        started: Instant,
+        deadline: Instant,
+    ) -> CallEnd {
+        let half = started + deadline.saturating_duration_since(started) / 2;
+        let mut first = pin!(self.call_in_order(parts, 0, deadline));
+        if let Ok(end) = tokio::time::timeout_at(half.into(), &mut first).await {
+            return end;
+        }
+        let second = pin!(self.call_in_order(parts, 1, deadline));
+        match select(first, second).await {
+            Either::Left((end, _)) | Either::Right((end, _)) if end.is_final() => end,
+            Either::Left((end, other)) => end.merge(other.await),
+            Either::Right((end, other)) => end.merge(other.await),
+        }
     }
 
-    /// Sends a ticket's work until an instance answers, or gives none if the deadline passes or if
-    /// the ticket was never sent and its first address does not answer.
-    async fn try_ticket(
+    /// Tries the addresses in order, beginning at `first`, until an instance answers, the deadline
+    /// passes, or the first try of a ticket proves that it was never sent.
+    async fn call_in_order(
         &self,
         parts: &CallParts<'_>,
+        first: usize,
         deadline: Instant,
-        progress: &mut CallProgress,
-    ) -> Option<Response<Bytes>> {
+    ) -> CallEnd {
+        let mut end = CallEnd::default();
         while Instant::now() < deadline {
-            for address in self.addresses(parts.service).await {
-                let left = deadline.saturating_duration_since(Instant::now());
-                let until = Instant::now() + left.mul_f64(FIRST_TRY_SHARE);
-                if let Ok(answer) = self.try_call(parts, address, deadline, until, progress).await {
-                    return Some(answer);
+            let mut addresses = self.addresses(parts.service).await;
+            let turn = first.checked_rem(addresses.len()).unwrap_or_default();
+            addresses.rotate_left(turn);
+            for address in addresses {
+                if Instant::now() >= deadline {
+                    return end;
                 }
-                if !progress.may_have_run {
-                    return None;
+                end.tries += 1;
+                match self.try_call(parts, address, deadline).await {
+                    Ok(answer) => {
+                        end.answer = Some(answer);
+                        return end;
+                    }
+                    Err(cause) => end.may_have_run |= cause.proof() == SendProof::MaybeSent,
+                }
+                if parts.ticket.is_some() && !end.may_have_run {
+                    return end;
                 }
             }
             self.forget_addresses(parts.service);
             tokio::time::sleep(TRY_PAUSE).await;
         }
-        None
+        end
     }
 
     /// How a ticket ended or stands, asked at any instance.
@@ -314,10 +332,7 @@
         parts: &CallParts<'_>,
         address: SocketAddr,
         deadline: Instant,
-        until: Instant,
-        progress: &mut CallProgress,
     ) -> Result<Response<Bytes>, LinkError> {
-        progress.tries += 1;
         let left = deadline.saturating_duration_since(Instant::now());
         let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
         let mut builder = Request::builder()
@@ -339,9 +354,9 @@
             Some(_) => ConnectionChoice::Recent,
             None => ConnectionChoice::Pooled,
         };
+        let until = deadline + ANSWER_MARGIN;
         let result = self.pool.exchange(address, request, choice, until).await;
-        if let Err(cause) = &result {
-            progress.may_have_run |= cause.proof() == SendProof::MaybeSent;
+        if result.is_err() {
             self.note_failed(address);
         }
         result
@@ -369,50 +384,69 @@
     }
 }
 
-struct CallProgress {
-    started: Instant,
-    tries: u32,
+/// How a call ended, by one way or by two.
+#[derive(Default)]
+struct CallEnd {
+    answer: Option<Response<Bytes>>,
     may_have_run: bool,
+    tries: u32,
 }
 
-impl CallProgress {
-    fn new(started: Instant) -> Self {
-        Self { started, tries: 0, may_have_run: false }
+impl CallEnd {
+    fn verdict(&self) -> Option<RunVerdict> {
+        let value = self.answer.as_ref()?.headers().get(VERDICT_HEADER)?;
+        value.to_str().ok()?.parse().ok()
     }
 
-    fn answered(&self, answer: &Response<Bytes>, ticket: Option<SmolStr>) -> CallReport {
-        let text = |name: &str| {
-            let value = answer.headers().get(name).and_then(|value| value.to_str().ok());
-            SmolStr::new(value.unwrap_or_default())
-        };
-        let verdict = text(VERDICT_HEADER).parse().unwrap_or(RunVerdict::MayHaveRun);
-        // Without a ticket, an earlier try at another instance may have run.
-        let is_tainted = ticket.is_none() && self.may_have_run && verdict == RunVerdict::NotRun;
-        CallReport {
-            verdict: if is_tainted { RunVerdict::MayHaveRun } else { verdict },
-            status: answer.status().as_u16(),
-            body: answer.body().clone(),
-            instance: text(INSTANCE_HEADER),
-            server: text(SERVER_HEADER),
-            queue: Duration::from_micros(text(QUEUE_HEADER).parse().unwrap_or_default()),
-            elapsed: self.started.elapsed(),
-            tries: self.tries,
-            ticket,
-        }
+    fn is_final(&self) -> bool {
+        self.verdict() == Some(RunVerdict::Ran)
+    }
+
+    /// Of two ways the one that says more.
+    fn merge(self, other: Self) -> Self {
+        let may_have_run = self.may_have_run
+            || other.may_have_run
+            || self.verdict() == Some(RunVerdict::MayHaveRun)
+            || other.verdict() == Some(RunVerdict::MayHaveRun);
+        let tries = self.tries + other.tries;
+        let answer =
+            if other.is_final() || self.answer.is_none() { other.answer } else { self.answer };
+        Self { answer, may_have_run, tries }
     }
 
-    fn unanswered(&self, ticket: Option<SmolStr>) -> CallReport {
-        let verdict = if self.may_have_run { RunVerdict::MayHaveRun } else { RunVerdict::NotRun };
-        CallReport {
-            verdict,
+    fn report(self, started: Instant, ticket: Option<SmolStr>) -> CallReport {
+        let unknown = if self.may_have_run { RunVerdict::MayHaveRun } else { RunVerdict::NotRun };
+        let mut report = CallReport {
+            verdict: unknown,
             status: 0,
             body: Bytes::new(),
             instance: SmolStr::default(),
             server: SmolStr::default(),
             queue: Duration::ZERO,
-            elapsed: self.started.elapsed(),
+            elapsed: started.elapsed(),
             tries: self.tries,
             ticket,
-        }
+        };
+        let verdict = self.verdict();
+        let Some(answer) = self.answer else {
+            return report;
+        };
+        let text = |name: &str| {
+            let value = answer.headers().get(name).and_then(|value| value.to_str().ok());
+            SmolStr::new(value.unwrap_or_default())
+        };
+        report.verdict = match verdict {
+            // Without a ticket, an earlier try at another instance may have run. Under a ticket the
+            // owner's word is final.
+            Some(RunVerdict::NotRun) if report.ticket.is_none() => unknown,
+            Some(verdict) => verdict,
+            None => RunVerdict::MayHaveRun,
+        };
+        report.status = answer.status().as_u16();
+        report.instance = text(INSTANCE_HEADER);
+        report.server = text(SERVER_HEADER);
+        report.queue = Duration::from_micros(text(QUEUE_HEADER).parse().unwrap_or_default());
+        report.body = answer.into_body();
+        report
     }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -8,17 +8,19 @@
 use crate::traffic::TrafficState;
 use control::FleetView;
 use dispatch::learn::route_of;
-use model::{InstanceRecord, MonoTime, RunVerdict, WorkClass};
+use futures::future::{Either, select};
+use model::{InstanceRecord, MonoTime, RunVerdict, ServerName, WorkClass};
 use peer::{ForwardAnswer, ForwardCall, PeerError};
 use smol_str::SmolStr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::pin::pin;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use timeline::{EventKind, HybridTime};
 
 /// Deepest accepted chain of calls.
 pub const DEPTH_MAX: u32 = 16;
-/// Share of the time left that the home may take before the call is served elsewhere.
-const FORWARD_SHARE: f64 = 0.5;
+/// Share of its time after which a call is also tried another way.
+const HEDGE_SHARE: f64 = 0.5;
 /// Time beyond its deadline in which another instance can still say how a call ended.
 pub(crate) const FORWARD_MARGIN: Duration = Duration::from_millis(50);
 
@@ -159,17 +161,47 @@
     if rule.unwrap_or(is_safe) { RepeatPolicy::Idempotent } else { RepeatPolicy::Once }
 }
 
+/// Serves a call that may repeat. When it is not answered in a share of its time, a second way is
+/// tried at the same time; the first is not cut off, since it may only be a straggler.
 async fn serve_idempotent(traffic: &TrafficState, context: &CallContext<'_>) -> ForwardAnswer {
-    let mut may_have_run = false;
-    if context.origin == CallOrigin::Caller
-        && let Some(home) = forward_home(traffic, context)
-    {
-        match forward_to_home(traffic, context, home).await {
-            Ok(answer) => return answer,
-            Err(PeerError::NotSent) => {}
-            Err(PeerError::NoAnswer) => may_have_run = true,
+    context.service.record_request();
+    let tried = Mutex::default();
+    let left = context.deadline.since(context.arrived);
+    let hedge_at = context.arrived.after(left.mul_f64(HEDGE_SHARE));
+    let hedge_at = traffic.clock.instant_of(hedge_at);
+    let here = || serve_here(traffic, context, &tried);
+    let home = match context.origin {
+        CallOrigin::Caller => forward_home(traffic, context),
+        CallOrigin::Peer => None,
+    };
+    let Some(home) = home else {
+        let may_hedge = || context.service.take_retry();
+        return hedge(hedge_at, here(), may_hedge, here()).await;
+    };
+    let at_home = async {
+        let answer = forward_to_home(traffic, context, home).await;
+        match answer {
+            Ok(answer) => answer,
+            Err(PeerError::NotSent) => here().await,
+            Err(PeerError::NoAnswer) => {
+                let name = &traffic.settings.name;
+                prefer(unknown_answer(name, "no answer from the home"), here().await)
+            }
         }
-    }
+    };
+    // The home's silence is found by the first call, so that later ones pass it over.
+    let may_hedge = || {
+        traffic.avoid_instance(&home.name);
+        true
+    };
+    hedge(hedge_at, at_home, may_hedge, here()).await
+}
+
+async fn serve_here(
+    traffic: &TrafficState,
+    context: &CallContext<'_>,
+    tried: &Mutex<Vec<ServerName>>,
+) -> ForwardAnswer {
     let local = LocalCall {
         call: context.call,
         class: context.class,
@@ -177,12 +209,44 @@
         arrived: context.arrived,
         deadline: context.deadline,
         answer_until: context.deadline,
+        tried,
     };
-    let answer = run_local(traffic, &context.service, &local).await;
-    if may_have_run && answer.verdict == RunVerdict::NotRun {
-        return unknown_answer(&traffic.settings.name, error_text(&answer));
+    run_local(traffic, &context.service, &local).await
+}
+
+/// Takes the answer of the first way; after `hedge_at`, and if `may_hedge` allows it, also tries
+/// the second one and takes whichever the work ran on first.
+async fn hedge(
+    hedge_at: Instant,
+    first: impl Future<Output = ForwardAnswer>,
+    may_hedge: impl FnOnce() -> bool,
+    second: impl Future<Output = ForwardAnswer>,
+) -> ForwardAnswer {
+    let mut first = pin!(first);
+    if let Ok(answer) = tokio::time::timeout_at(hedge_at.into(), &mut first).await {
+        return answer;
+    }
+    if !may_hedge() {
+        return first.await;
+    }
+    match select(first, pin!(second)).await {
+        Either::Left((answer, _)) | Either::Right((answer, _))
+            if answer.verdict == RunVerdict::Ran =>
+        {
+            answer
+        }
+        Either::Left((answer, second)) => prefer(answer, second.await),
+        Either::Right((answer, first)) => prefer(first.await, answer),
+    }
+}
+
+/// Of two answers to one call the one that says more; not-run only if both say so.
+fn prefer(first: ForwardAnswer, second: ForwardAnswer) -> ForwardAnswer {
+    match (first.verdict, second.verdict) {
+        (_, RunVerdict::Ran) => second,
+        (RunVerdict::NotRun, RunVerdict::MayHaveRun) => second,
+        _ => first,
     }
-    answer
 }
 
 /// The home to pass a call to, or none if this instance serves it.
@@ -206,12 +270,7 @@
     home: &InstanceRecord,
 ) -> Result<ForwardAnswer, PeerError> {
     let left = context.deadline.since(traffic.clock.now());
-    // Long work cannot be cut short, so it gets all the time left.
-    let timeout = match context.class {
-        WorkClass::Short => left.mul_f64(FORWARD_SHARE),
-        WorkClass::Long => left + FORWARD_MARGIN,
-    };
-    let result = forward(traffic, context.call, home, left, timeout).await;
+    let result = forward(traffic, context.call, home, left, left + FORWARD_MARGIN).await;
     if result.is_err() {
         traffic.avoid_instance(&home.name);
     }
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{CallRefusal, unknown_answer};
 use crate::service::{ServiceRuntime, SlotLease, SlotRequest};
-use crate::traffic::TrafficState;
+use crate::traffic::{TrafficState, lock};
 use bytes::Bytes;
 use control::ControlEvent;
 use dispatch::SlotOutcome;
@@ -19,14 +19,12 @@
 use peer::{ForwardAnswer, ForwardCall};
 use smol_str::{SmolStr, ToSmolStr};
 use std::str::FromStr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use timeline::EventKind;
 
 /// Attempts at one request, the first included.
 const ATTEMPTS_MAX: usize = 4;
-/// Share of the time left that the first attempt at a short idempotent request may take.
-const FIRST_ATTEMPT_SHARE: f64 = 0.5;
 
 /// Whether a request may be sent again after bytes of it were written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +49,14 @@
     pub deadline: MonoTime,
     /// How long a dispatched request may stay with the backend server.
     pub answer_until: MonoTime,
+    /// Servers to which the call was sent before, also by an attempt at the same time.
+    pub tried: &'a Mutex<Vec<ServerName>>,
+}
+
+impl LocalCall<'_> {
+    fn tried(&self) -> Vec<ServerName> {
+        lock(self.tried).clone()
+    }
 }
 
 /// How one attempt ended.
@@ -70,8 +76,6 @@
     local: &LocalCall<'_>,
 ) -> ForwardAnswer {
     let instance = &traffic.settings.name;
-    service.record_request();
-    let mut avoid: Vec<ServerName> = Vec::new();
     let mut queue_micros = 0;
     let mut may_have_run = false;
     loop {
@@ -81,7 +85,7 @@
             class: local.class,
             arrived: local.arrived,
             deadline: local.deadline,
-            avoid: avoid.clone(),
+            avoid: local.tried(),
         };
         let lease = match service.acquire(request).await {
             Ok(lease) => lease,
@@ -94,8 +98,9 @@
         let class = local.class.as_str();
         traffic.metrics.queue_seconds.with_label_values(&[class]).observe(waited.as_secs_f64());
         let server = lease.grant().server.clone();
-        let is_last = avoid.len() + 1 >= ATTEMPTS_MAX;
-        let end = attempt(traffic, service, local, lease, is_last).await;
+        lock(local.tried).push(server.clone());
+        let is_last = lock(local.tried).len() >= ATTEMPTS_MAX;
+        let end = attempt(traffic, service, local, lease).await;
         let cause = match end {
             AttemptEnd::Answered(response) => {
                 return answered(traffic, &server, queue_micros, *response);
@@ -111,7 +116,6 @@
             AttemptEnd::NotRun(cause) => cause,
         };
         record_failure(traffic, local, &server, &cause);
-        avoid.push(server);
         if is_last || !service.take_retry() {
             return refusal_after(may_have_run, CallRefusal::Unserved(cause), instance);
         }
@@ -147,7 +151,6 @@
     service: &Arc<ServiceRuntime>,
     local: &LocalCall<'_>,
     lease: SlotLease,
-    is_last: bool,
 ) -> AttemptEnd {
     let grant = lease.grant().clone();
     let call = local.call;
@@ -163,12 +166,11 @@
         request: call.request.clone(),
         server: grant.server.clone(),
     });
-    let until = attempt_until(local, now, is_last);
     let choice = match local.repeat {
         RepeatPolicy::Idempotent => ConnectionChoice::Pooled,
         RepeatPolicy::Once => ConnectionChoice::Recent,
     };
-    let deadline = traffic.clock.instant_of(until);
+    let deadline = traffic.clock.instant_of(local.answer_until);
     let result = traffic.pool.exchange(grant.address, request, choice, deadline).await;
     let span = traffic.clock.now().since(now);
     traffic.metrics.exchange_seconds.observe(span.as_secs_f64());
@@ -178,15 +180,6 @@
     }
 }
 
-/// The first attempt at short idempotent work leaves time for another one elsewhere.
-fn attempt_until(local: &LocalCall<'_>, now: MonoTime, is_last: bool) -> MonoTime {
-    let may_repeat = local.repeat == RepeatPolicy::Idempotent && local.class == WorkClass::Short;
-    if !may_repeat || is_last {
-        return local.answer_until;
-    }
-    now.after(local.deadline.since(now).mul_f64(FIRST_ATTEMPT_SHARE))
-}
-
 fn settle_answer(
     traffic: &TrafficState,
     service: &Arc<ServiceRuntime>,
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -10,7 +10,7 @@
 use model::{Millis, MonoTime, RunVerdict, ServiceName, WorkClass};
 use peer::{ForwardAnswer, ForwardCall, TicketBatch, TicketInquiry};
 use smol_str::{SmolStr, ToSmolStr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -156,6 +156,8 @@
 
 impl TicketRun {
     async fn run(self, sender: watch::Sender<Option<TicketEnd>>) {
+        self.service.record_request();
+        let tried = Mutex::default();
         let local = LocalCall {
             call: &self.call,
             class: self.class,
@@ -163,6 +165,7 @@
             arrived: self.arrived,
             deadline: self.deadline,
             answer_until: self.deadline.after(LATE_ANSWER_SPAN),
+            tried: &tried,
         };
         let answer = run_local(&self.traffic, &self.service, &local).await;
         let end = end_of(answer);
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -141,11 +141,11 @@
 }
 
 /// Starts long work through all instances and waits until it runs.
-fn start_long_work(fleet: &TestFleet) -> Vec<OpenCall> {
+fn start_long_work(fleet: &TestFleet, work_ms: u32) -> Vec<OpenCall> {
     let mut calls = Vec::new();
     for entry in 0..fleet.entries.len() {
-        calls.push(OpenCall::send(fleet, entry, "GET", 700));
-        calls.push(OpenCall::send(fleet, entry, "POST", 700));
+        calls.push(OpenCall::send(fleet, entry, "GET", work_ms));
+        calls.push(OpenCall::send(fleet, entry, "POST", work_ms));
     }
     wait_until("all work runs", || {
         let running: u32 = fleet.servers.iter().map(|server| server.in_flight()).sum();
@@ -157,7 +157,7 @@
 /// Stops a backend server as planned while long work runs there.
 fn check_server_stop(commands: &[&str]) {
     let fleet = TestFleet::start(2, 1);
-    let calls = start_long_work(&fleet);
+    let calls = start_long_work(&fleet, 700);
     for command in commands {
         fleet.command(0, command);
     }
@@ -177,7 +177,8 @@
 /// Stops an instance as planned while long work runs there and is passed on by it.
 fn check_entry_stop(stops_home: bool) {
     let mut fleet = TestFleet::start(3, 2);
-    let calls = start_long_work(&fleet);
+    // Longer than an instance goes on at the least after it told the others that it leaves.
+    let calls = start_long_work(&fleet, 2_700);
     let stopped = if stops_home { fleet.home() } else { fleet.other() };
     let instance = fleet.entries.remove(stopped);
     let stopping = std::thread::spawn(move || instance.close());
--- a/crates/entry/tests/matrix.rs
+++ b/crates/entry/tests/matrix.rs
@@ -235,6 +235,10 @@
         wait_until("the successor serves", || {
             fleet.traffic(successor).view.load().config.is_some()
         });
+        // The successor's own tickets have the same numbers.
+        for _ in 0..4 {
+            fleet.ticket(successor);
+        }
     }
     for entry in 0..fleet.entries.len() {
         let answer = book(&fleet, entry, &ticket);
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -10,7 +10,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use link::{HttpServer, serve_http};
 use model::wire::{
-    DEADLINE_HEADER, DRAIN_HEADER, IDEMPOTENCY_HEADER, LOAD_HEADER, REQUEST_HEADER, SHED_HEADER,
+    CALL_PATH, DEADLINE_HEADER, DEPTH_HEADER, DRAIN_HEADER, IDEMPOTENCY_HEADER, LOAD_HEADER,
+    REQUEST_HEADER, SHED_HEADER,
 };
 use model::{Millis, ServerName};
 use rand::rngs::SmallRng;
@@ -141,6 +142,8 @@
     faults: Mutex<BackendFaults>,
     random: Mutex<SmallRng>,
     ledger: RunLedger,
+    /// Connections to the instance that a chain of calls goes through.
+    pool: link::LinkPool,
     /// The load and when it was measured, replaced every `load_lag`.
     lagging_load: Mutex<(Instant, u32)>,
 }
@@ -173,6 +176,7 @@
             faults: Mutex::default(),
             random: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
             ledger: RunLedger::default(),
+            pool: link::LinkPoolBuilder::default().build(),
             lagging_load: Mutex::new((Instant::now(), 0)),
             settings,
         });
@@ -233,6 +237,10 @@
 #[derive(Deserialize)]
 struct WorkParams {
     work_ms: Option<u64>,
+    /// Instance through which the work calls the same service again.
+    chain_via: Option<SocketAddr>,
+    /// Calls that are still to follow below; the last one is shed.
+    chain_left: Option<u32>,
 }
 
 async fn work(
@@ -245,7 +253,8 @@
 ) -> Response {
     let faults = *shared.faults.lock().unwrap_or_else(PoisonError::into_inner);
     let is_full = shared.waiting.load(Ordering::Relaxed) >= shared.settings.waiting_max;
-    if faults.shed || is_full {
+    let is_chain_end = params.chain_left == Some(0);
+    if faults.shed || is_full || is_chain_end {
         return shed(&shared);
     }
     if faults.fail_fast {
@@ -267,11 +276,40 @@
     if faults.hang {
         return std::future::pending().await;
     }
+    if let (Some(via), Some(left @ 1..)) = (params.chain_via, params.chain_left) {
+        return call_further(&shared, via, left - 1, &headers).await;
+    }
     let request = headers.get(REQUEST_HEADER).and_then(|id| id.to_str().ok()).unwrap_or_default();
     let text = format!("{} {method} {uri} {request} {} bytes\n", shared.settings.name, body.len());
     answer(&shared, text, faults)
 }
 
+/// Calls the next service of a chain and passes its failure on as one of its own.
+async fn call_further(
+    shared: &SharedBackend,
+    via: SocketAddr,
+    left: u32,
+    headers: &HeaderMap,
+) -> Response {
+    let path = format!("{CALL_PATH}/orders/chain?work_ms=0&chain_via={via}&chain_left={left}");
+    let mut builder = http::Request::get(path).header(http::header::HOST, "chain");
+    for name in [DEPTH_HEADER, DEADLINE_HEADER] {
+        if let Some(value) = headers.get(name) {
+            builder = builder.header(name, value);
+        }
+    }
+    let Ok(request) = builder.body(http_body_util::Full::default()) else {
+        return StatusCode::INTERNAL_SERVER_ERROR.into_response();
+    };
+    let allowed = header_number(headers, DEADLINE_HEADER).unwrap_or(1_000);
+    let deadline = Instant::now() + Duration::from_millis(allowed);
+    let choice = link::ConnectionChoice::Pooled;
+    let answer = shared.pool.exchange(via, request, choice, deadline).await;
+    let is_served = answer.is_ok_and(|answer| answer.status().is_success());
+    let status = if is_served { StatusCode::OK } else { StatusCode::BAD_GATEWAY };
+    with_load(shared, status.into_response())
+}
+
 fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
