Tell not-run only where it holds for the ticket, not for the refused copy alone

Ruled out: the ticket table, which was right whenever it was asked. Change: a refusal under an unused ticket of this process ends the ticket; a used one tells its end; at any other process, and for a body that broke off, the verdict is may-have-run.

--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -346,6 +346,15 @@
         }
     }
 
+    /// Ends a ticket that nobody used, so that no copy runs later; others stay as they are.
+    pub fn refuse(&mut self, now: MonoTime, serial: TicketSerial) -> BeginOutcome {
+        let outcome = self.begin(now, serial);
+        if outcome != BeginOutcome::Start {
+            return outcome;
+        }
+        BeginOutcome::Ended(self.end(serial, TicketEnd::NotRun))
+    }
+
     /// Records the end of a ticket in progress. Only the first end counts; gives the one in force.
     pub fn end(&mut self, serial: TicketSerial, end: TicketEnd) -> TicketEnd {
         let room = self.limits.answer_bytes.saturating_sub(self.answer_bytes);
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -27,6 +27,8 @@
     TableFull,
     /// The request itself is wrong.
     BadRequest(SmolStr),
+    /// The body did not arrive whole. The caller may send the request again under the same ticket.
+    BodyBroken(SmolStr),
     /// The body exceeds the limit.
     BodyTooLong,
     /// The queue refused the request.
@@ -42,7 +44,7 @@
             Self::UnknownService => 404,
             Self::NoTicket => 428,
             Self::TooDeep => 508,
-            Self::BadTicket(_) | Self::BadRequest(_) => 400,
+            Self::BadTicket(_) | Self::BadRequest(_) | Self::BodyBroken(_) => 400,
             Self::BodyTooLong => 413,
             Self::NoConfig
             | Self::Isolated
@@ -65,6 +67,7 @@
             Self::BadTicket(_) => "bad_ticket",
             Self::TableFull => "table_full",
             Self::BadRequest(_) => "bad_request",
+            Self::BodyBroken(_) => "body_broken",
             Self::BodyTooLong => "body_too_long",
             Self::Queue(refusal) => refusal.cause.as_str(),
             Self::Unserved(_) => "unserved",
@@ -82,7 +85,9 @@
             Self::NoTicket => "work that must not repeat needs a ticket or a first attempt".into(),
             Self::BadTicket(cause) => smol_str::ToSmolStr::to_smolstr(cause),
             Self::TableFull => "no room for another ticket".into(),
-            Self::BadRequest(cause) | Self::Unserved(cause) => cause.clone(),
+            Self::BadRequest(cause) | Self::BodyBroken(cause) | Self::Unserved(cause) => {
+                cause.clone()
+            }
             Self::BodyTooLong => "body too long".into(),
             Self::Queue(refusal) => refusal.cause.as_str().into(),
         }
@@ -96,9 +101,9 @@
         }
     }
 
-    /// The answer that tells the refusal, with the verdict `not-run`.
-    pub fn answer(&self, instance: &InstanceName) -> ForwardAnswer {
-        let mut answer = error_answer(instance, RunVerdict::NotRun, self.status(), self.text());
+    /// The answer that tells the refusal.
+    pub fn answer(&self, instance: &InstanceName, verdict: RunVerdict) -> ForwardAnswer {
+        let mut answer = error_answer(instance, verdict, self.status(), self.text());
         answer.retry_after = self.retry_after();
         answer
     }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -4,6 +4,7 @@
 use crate::answer::{CallRefusal, unknown_answer};
 use crate::local::{LocalCall, RepeatPolicy, run_local};
 use crate::once::serve_once;
+use crate::refuse::{WorkClaim, refuse_call};
 use crate::service::ServiceRuntime;
 use crate::traffic::TrafficState;
 use control::FleetView;
@@ -72,11 +73,12 @@
     traffic.ring.clock().observe(HybridTime(call.clock));
     traffic.metrics.in_progress.inc();
     let counted = InProgressGuard(traffic);
+    let claim = WorkClaim { ticket: call.ticket.clone(), key: key.clone() };
     let mut answer = match route_call(traffic, call, origin, key).await {
         Ok(answer) => answer,
         Err(refusal) => {
             traffic.metrics.refusals.with_label_values(&[refusal.label()]).inc();
-            refusal.answer(&traffic.settings.name)
+            refuse_call(traffic, &claim, &refusal)
         }
     };
     drop(counted);
--- a/crates/entry/src/caller_port.rs
+++ b/crates/entry/src/caller_port.rs
@@ -3,6 +3,7 @@
 use crate::answer::{CallRefusal, lost_answer};
 use crate::call::{CallOrigin, CallerKey, serve_call};
 use crate::once;
+use crate::refuse::{WorkClaim, refuse_call};
 use crate::traffic::TrafficState;
 use axum::Router;
 use axum::body::Body;
@@ -49,7 +50,7 @@
     let view = traffic.view.load_full();
     let refuse = |refusal: CallRefusal| {
         count_bad(&traffic, &refusal);
-        call_response(refusal.answer(&traffic.settings.name))
+        call_response(refusal.answer(&traffic.settings.name, RunVerdict::NotRun))
     };
     let Ok(service) = service.parse::<ServiceName>() else {
         return refuse(CallRefusal::UnknownService);
@@ -93,7 +94,7 @@
 ) -> Response {
     let refuse = |refusal: CallRefusal| {
         count_bad(&traffic, &refusal);
-        call_response(refusal.answer(&traffic.settings.name))
+        call_response(refusal.answer(&traffic.settings.name, RunVerdict::NotRun))
     };
     let known = |service: &ServiceName| traffic.service(service).is_some();
     let Some(service) = service.parse::<ServiceName>().ok().filter(known) else {
@@ -113,7 +114,7 @@
         Ok(state) => Json(state).into_response(),
         Err(refusal) => {
             count_bad(&traffic, &refusal);
-            call_response(refusal.answer(&traffic.settings.name))
+            call_response(refusal.answer(&traffic.settings.name, RunVerdict::NotRun))
         }
     }
 }
@@ -123,31 +124,40 @@
     Path((service, _)): Path<(String, String)>,
     request: Request,
 ) -> Response {
-    let read = match read_call(&traffic, &service, request).await {
-        Ok(read) => read,
+    let claim = read_claim(request.headers());
+    let answer = match read_call(&traffic, &service, request).await {
+        Ok(call) => serve_call(&traffic, &call, CallOrigin::Caller, claim.key).await,
         Err(refusal) => {
             count_bad(&traffic, &refusal);
-            return call_response(refusal.answer(&traffic.settings.name));
+            refuse_call(&traffic, &claim, &refusal)
         }
     };
-    let answer = serve_call(&traffic, &read.call, CallOrigin::Caller, read.key).await;
     call_response(answer)
 }
 
-fn count_bad(traffic: &TrafficState, refusal: &CallRefusal) {
-    traffic.metrics.bad_requests.with_label_values(&[refusal.label()]).inc();
+/// What marks the request as work that must not repeat. It is read first, since it decides what a
+/// refusal may tell.
+fn read_claim(headers: &HeaderMap) -> WorkClaim {
+    let text = |name: &str| {
+        let value = headers.get(name)?.to_str().ok()?;
+        (value.len() <= HEADER_MAX_BYTES).then(|| SmolStr::new(value))
+    };
+    let is_first = text(ATTEMPT_HEADER).is_some_and(|attempt| attempt == "1");
+    WorkClaim {
+        ticket: text(TICKET_HEADER),
+        key: text(IDEMPOTENCY_HEADER).map(|key| CallerKey { key, is_first }),
+    }
 }
 
-struct ReadCall {
-    call: ForwardCall,
-    key: Option<CallerKey>,
+fn count_bad(traffic: &TrafficState, refusal: &CallRefusal) {
+    traffic.metrics.bad_requests.with_label_values(&[refusal.label()]).inc();
 }
 
 async fn read_call(
     traffic: &TrafficState,
     service: &str,
     request: Request,
-) -> Result<ReadCall, CallRefusal> {
+) -> Result<ForwardCall, CallRefusal> {
     let (parts, body) = request.into_parts();
     let service: ServiceName = service.parse().map_err(|_| CallRefusal::UnknownService)?;
     let headers = &parts.headers;
@@ -161,10 +171,10 @@
         None => ANONYMOUS.parse().expect("the constant is a name"),
     };
     let request = header_value(headers, REQUEST_HEADER)?;
-    let key = header_value::<SmolStr>(headers, IDEMPOTENCY_HEADER)?;
-    let attempt = header_value::<u32>(headers, ATTEMPT_HEADER)?;
+    header_value::<u32>(headers, ATTEMPT_HEADER)?;
+    header_value::<SmolStr>(headers, IDEMPOTENCY_HEADER)?;
     let path_and_query = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let call = ForwardCall {
+    Ok(ForwardCall {
         request: request.unwrap_or_else(|| traffic.new_request()),
         caller,
         method: parts.method.as_str().into(),
@@ -176,9 +186,7 @@
         ticket: header_value(headers, TICKET_HEADER)?,
         body: read_body(traffic, body).await?,
         clock: 0,
-    };
-    let key = key.map(|key| CallerKey { key, is_first: attempt == Some(1) });
-    Ok(ReadCall { call, key })
+    })
 }
 
 fn bad_request(cause: &str) -> CallRefusal {
@@ -214,10 +222,10 @@
     let limit = usize::try_from(traffic.settings.body_limit.0).unwrap_or(usize::MAX);
     let reading = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect());
     match reading.await {
-        Err(_) => Err(bad_request("the body did not arrive in time")),
+        Err(_) => Err(CallRefusal::BodyBroken("the body did not arrive in time".into())),
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(CallRefusal::BodyTooLong),
-        Ok(Err(_)) => Err(bad_request("the body was cut off")),
+        Ok(Err(_)) => Err(CallRefusal::BodyBroken("the body was cut off".into())),
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod operator_port;
 mod peer_port;
 mod prober;
+mod refuse;
 mod report;
 mod service;
 mod traffic;
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -132,7 +132,7 @@
     if may_have_run {
         return unknown_answer(instance, refusal.text());
     }
-    refusal.answer(instance)
+    refusal.answer(instance, RunVerdict::NotRun)
 }
 
 fn record_failure(
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -207,11 +207,12 @@
     }
 }
 
-fn end_answer(traffic: &TrafficState, end: &TicketEnd) -> ForwardAnswer {
+pub(crate) fn end_answer(traffic: &TrafficState, end: &TicketEnd) -> ForwardAnswer {
     let instance = &traffic.settings.name;
     match end {
         TicketEnd::NotRun => {
-            CallRefusal::Unserved("the ticket ended without running".into()).answer(instance)
+            let refusal = CallRefusal::Unserved("the ticket ended without running".into());
+            refusal.answer(instance, RunVerdict::NotRun)
         }
         TicketEnd::MayHaveRun => unknown_answer(instance, "the ticket ended without an answer"),
         TicketEnd::Ran(None) => lost_answer(instance),
--- a/crates/entry/tests/matrix.rs
+++ b/crates/entry/tests/matrix.rs
@@ -330,3 +330,83 @@
     assert_true_verdicts(&fleet, &ticket, &answers);
     fleet.close();
 }
+
+/// A refusal that an instance gives before it looks at the ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EarlyRefusal {
+    DeadlinePassed,
+    TooDeep,
+    BadHeader,
+    BodyTooLong,
+    ServiceDropped,
+    NoConfig,
+}
+
+/// Sends a copy that is refused early and gives its verdict.
+fn refused_copy(fleet: &mut TestFleet, refusal: EarlyRefusal, ticket: &str) -> RunVerdict {
+    let home = fleet.home();
+    let mut headers = vec![("lacewing-ticket", ticket)];
+    let mut body = "b".to_owned();
+    let mut entry = home;
+    match refusal {
+        EarlyRefusal::DeadlinePassed => headers.push(("lacewing-deadline-ms", "0")),
+        EarlyRefusal::TooDeep => headers.push(("lacewing-depth", "17")),
+        EarlyRefusal::BadHeader => headers.push(("lacewing-caller", "a b")),
+        EarlyRefusal::BodyTooLong => body = "b".repeat(1_100_000),
+        EarlyRefusal::ServiceDropped => {
+            fleet.command(home, "drop service orders");
+        }
+        EarlyRefusal::NoConfig => {
+            fleet.store.set_faults(standin::StoreFaults { down: true, ..Default::default() });
+            let fresh = fleet.start_entry(9, "");
+            fleet.entries.push(fresh);
+            entry = fleet.entries.len() - 1;
+        }
+    }
+    verdict_of(&fleet.call(entry, "POST", BOOK, &headers, &body)).unwrap()
+}
+
+/// A copy of a booking that ran must never be told as not run.
+fn check_refused_after_run(refusal: EarlyRefusal) {
+    let mut fleet = TestFleet::start(2, 1);
+    let ticket = fleet.ticket(fleet.home());
+    let answer = book(&fleet, fleet.home(), &ticket);
+    assert_eq!(verdict_of(&answer), Some(RunVerdict::Ran));
+    let verdict = refused_copy(&mut fleet, refusal, &ticket);
+    assert_ne!(verdict, RunVerdict::NotRun);
+    fleet.close();
+}
+
+cases! { check_refused_after_run {
+    ran_then_deadline_passed: (EarlyRefusal::DeadlinePassed);
+    ran_then_too_deep: (EarlyRefusal::TooDeep);
+    ran_then_bad_header: (EarlyRefusal::BadHeader);
+    ran_then_body_too_long: (EarlyRefusal::BodyTooLong);
+    ran_then_service_dropped: (EarlyRefusal::ServiceDropped);
+    ran_then_no_config: (EarlyRefusal::NoConfig);
+} }
+
+/// A booking that was told as not run must never run, also under the same ticket.
+fn check_refused_before_run(refusal: EarlyRefusal) {
+    let mut fleet = TestFleet::start(2, 1);
+    let home = fleet.home();
+    let ticket = fleet.ticket(home);
+    let told = refused_copy(&mut fleet, refusal, &ticket);
+    let mut answers = Vec::new();
+    for entry in 0..2 {
+        answers.push(book(&fleet, entry, &ticket));
+    }
+    let runs = fleet.ledger().runs.get(ticket.as_str()).copied().unwrap_or_default();
+    assert!(told != RunVerdict::NotRun || runs == 0, "told {told}, ran {runs} times");
+    assert_true_verdicts(&fleet, &ticket, &answers);
+    fleet.close();
+}
+
+cases! { check_refused_before_run {
+    deadline_passed_then_copy: (EarlyRefusal::DeadlinePassed);
+    too_deep_then_copy: (EarlyRefusal::TooDeep);
+    bad_header_then_copy: (EarlyRefusal::BadHeader);
+    body_too_long_then_copy: (EarlyRefusal::BodyTooLong);
+    service_dropped_then_copy: (EarlyRefusal::ServiceDropped);
+    no_config_then_copy: (EarlyRefusal::NoConfig);
+} }
