--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -95,3 +95,18 @@
     /// Backend servers that are leaving.
     pub leaving: Vec<Leaving>,
 }
+
+impl FleetDigest {
+    /// The answer to `seen`: only lines that are news to its sender. The first line, which is the
+    /// answering instance's own, always stays.
+    pub fn answer_to(&self, seen: &Self) -> Self {
+        let is_news = |line: &DigestLine| {
+            let known = seen.lines.iter().find(|known| known.name == line.name);
+            known
+                .is_none_or(|known| (line.incarnation, line.beat) > (known.incarnation, known.beat))
+        };
+        let own = self.lines.iter().take(1);
+        let news = self.lines.iter().skip(1).filter(|line| is_news(line));
+        Self { lines: own.chain(news).cloned().collect(), ..self.clone() }
+    }
+}
