Let the watchers of a data centre read the platform's list often, the others rarely; show since when

Also: show instances tells since when a version is known; the processes' chore stops twice; the added-time chore has a path without a time line.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -27,6 +27,8 @@
     pub life: MemberLife,
     /// The version in force there.
     pub version: ConfigVersion,
+    /// When this instance learned of that version.
+    pub version_at: MonoTime,
     beat: u64,
     beat_at: MonoTime,
     listed: bool,
@@ -72,6 +74,7 @@
                 record: record.clone(),
                 life: MemberLife::Alive,
                 version: ConfigVersion(0),
+                version_at: now,
                 beat: 0,
                 beat_at: now,
                 listed,
@@ -111,7 +114,10 @@
         if line.incarnation > member.record.incarnation {
             return MemberNews::Unknown;
         }
-        member.version = member.version.max(line.version);
+        if line.version > member.version {
+            member.version = line.version;
+            member.version_at = now;
+        }
         if line.beat <= member.beat {
             return MemberNews::Same;
         }
--- a/crates/control/src/reducer.rs
+++ b/crates/control/src/reducer.rs
@@ -17,8 +17,10 @@
 const HEARTBEAT_SPAN: Duration = Duration::from_millis(500);
 /// Instances that receive each heartbeat.
 const HEARTBEAT_FANOUT: usize = 2;
-/// Time between reads of the platform's list.
+/// Time between reads of the platform's list by an instance that watches the store.
 const LIST_SPAN: Duration = Duration::from_secs(2);
+/// Time between such reads by the others, which hear of changes with heartbeats.
+const LIST_SPAN_OTHERS: Duration = Duration::from_secs(10);
 /// Age of the store's confirmation after which an instance that does not watch reads for itself.
 const CONFIRM_SPAN: Duration = Duration::from_millis(3_000);
 /// Pause after a failed call to the store.
@@ -48,6 +50,7 @@
     beat: u64,
     members: MemberTable,
     config: Option<Arc<ConfigDocument>>,
+    version_at: MonoTime,
     revision: StoreRevision,
     confirmed_at: Option<MonoTime>,
     heard_at: Option<MonoTime>,
@@ -74,6 +77,7 @@
             beat: 0,
             members: MemberTable::default(),
             config: None,
+            version_at: MonoTime(0),
             revision: StoreRevision(0),
             confirmed_at: None,
             heard_at: None,
@@ -142,6 +146,7 @@
             record: self.this.clone(),
             life: MemberLife::Alive,
             version: self.version(),
+            version_at: self.version_at,
         };
         members.insert(self.this.name.clone(), this);
         FleetView {
@@ -207,7 +212,9 @@
         }
         if now >= self.list_due && !self.list_pending {
             self.list_pending = true;
-            self.list_due = now.after(LIST_SPAN);
+            let is_alone = self.members.known().next().is_none();
+            let reads_often = is_alone || self.is_watcher();
+            self.list_due = now.after(if reads_often { LIST_SPAN } else { LIST_SPAN_OTHERS });
             effects.push(ControlEffect::ListInstances);
         }
         self.call_store(now, effects);
@@ -321,6 +328,7 @@
         let drained = document.draining_instances.get(&self.this.name);
         let stops = drained == Some(&self.this.incarnation);
         self.config = Some(document);
+        self.version_at = now;
         self.forget_dropped_servers();
         self.members_changed(effects);
         effects.push(ControlEffect::Report(StateChange::ConfigInForce(version)));
@@ -464,7 +472,12 @@
 }
 
 fn member_view(member: &FleetMember) -> MemberView {
-    MemberView { record: member.record.clone(), life: member.life, version: member.version }
+    MemberView {
+        record: member.record.clone(),
+        life: member.life,
+        version: member.version,
+        version_at: member.version_at,
+    }
 }
 
 fn member_change(record: &InstanceRecord) -> StateChange {
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -30,6 +30,8 @@
     pub life: MemberLife,
     /// The version in force there, as far as known here.
     pub version: ConfigVersion,
+    /// When this instance learned of that version.
+    pub version_at: MonoTime,
 }
 
 /// The control state at one moment.
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -4,7 +4,7 @@
 use command::QueryStatement;
 use control::{FleetView, MemberLife};
 use model::operator::ReportTable;
-use model::{ChangeId, ServiceName};
+use model::{ChangeId, Millis, ServiceName};
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 
 /// Answers one query.
@@ -20,7 +20,7 @@
         QueryStatement::Services => Ok(services(&view)),
         QueryStatement::Servers(service) => servers(&view, service),
         QueryStatement::Rules(service) => rules(&view, service),
-        QueryStatement::Instances => Ok(instances(&view)),
+        QueryStatement::Instances => Ok(instances(traffic, &view)),
         QueryStatement::Version => Ok(version(traffic, &view)),
         QueryStatement::Change(id) => Ok(change(&view, id)),
         QueryStatement::Decisions(service) => decisions(traffic, &view, service),
@@ -109,7 +109,8 @@
     Ok(table(title, &["route", "class", "idempotent"], rows.collect()))
 }
 
-fn instances(view: &FleetView) -> ReportTable {
+fn instances(traffic: &TrafficState, view: &FleetView) -> ReportTable {
+    let now = traffic.clock.now();
     let columns = [
         "instance",
         "data_centre",
@@ -131,6 +132,7 @@
                 MemberLife::Gone => "stopped",
             }),
             member.version.to_smolstr(),
+            Millis::from(now.since(member.version_at)).to_smolstr(),
             record.incarnation.to_smolstr(),
             record.caller_address.to_smolstr(),
             record.operator_address.to_smolstr(),
@@ -141,7 +143,7 @@
 
 fn version(traffic: &TrafficState, view: &FleetView) -> ReportTable {
     let now = traffic.clock.now();
-    let ago = view.confirmed_at.map(|at| model::Millis::from(now.since(at)).to_smolstr());
+    let ago = view.confirmed_at.map(|at| Millis::from(now.since(at)).to_smolstr());
     let row = vec![
         view.this.name.to_smolstr(),
         view.version().to_smolstr(),
--- a/crates/xtask/src/added.rs
+++ b/crates/xtask/src/added.rs
@@ -15,6 +15,8 @@
 
 /// Rates to measure, in calls per second.
 const RATES: [f64; 4] = [500.0, 1_000.0, 2_000.0, 4_000.0];
+/// Ports between the fleet with a time line and the one without.
+const QUIET_PORTS: u16 = 300;
 /// Length of each run.
 const SPAN: Duration = Duration::from_secs(6);
 /// Work of a call at the backend server, in milliseconds; the timer rounds up to the next one.
@@ -31,7 +33,8 @@
     pids: Vec<u32>,
 }
 
-/// Calls the backend servers directly, through the home and through another instance, in turn.
+/// Calls the backend servers directly, through the home with and without a time line, and through
+/// another instance, in turn.
 pub fn run_added() -> Result<()> {
     build_release()?;
     let runtime =
@@ -42,6 +45,12 @@
 async fn measure() -> Result<()> {
     let fleet = ProcessFleet::start(&FleetPlan::new(2, 6)).await?;
     fleet.operator(0).send(&fleet.service_batch(&fleet.servers), None).await?;
+    let mut quiet_plan = FleetPlan::new(2, 0);
+    quiet_plan.first_port += QUIET_PORTS;
+    quiet_plan.settings = "[timeline]\nevents = 0\n".into();
+    let quiet = ProcessFleet::start(&quiet_plan).await?;
+    quiet.operator(0).send(&fleet.service_batch(&fleet.servers), None).await?;
+    let quiet_home = &quiet.entries[home_of(&quiet).await?];
     let home = home_of(&fleet).await?;
     let other = 1 - home;
     let pid = |entry: usize| fleet.entries[entry].pid().context("runs");
@@ -59,6 +68,12 @@
             prefix: prefix.clone(),
             pids: vec![pid(home)?],
         },
+        Path {
+            name: "no events",
+            addresses: vec![quiet_home.address],
+            prefix: prefix.clone(),
+            pids: vec![quiet_home.pid().context("runs")?],
+        },
         Path {
             name: "forwarded",
             addresses: vec![fleet.entries[other].address],
@@ -78,6 +93,7 @@
         }
     }
     fleet.close()?;
+    quiet.close()?;
     Ok(())
 }
 
--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -26,6 +26,8 @@
 const ENTRY_PORTS: u16 = 3;
 /// How long a process may take to listen.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// When the second stop follows the first; an instance goes on for longer than that.
+const SECOND_STOP_AFTER: Duration = Duration::from_millis(200);
 /// How long an administrative call may take.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -292,6 +294,11 @@
     ///
     /// Gives the exit codes of the entry instances.
     pub fn close(mut self) -> Result<Vec<Option<i32>>> {
+        for entry in &self.entries {
+            entry.signal(Signal::TERM)?;
+        }
+        // A second stop on top of the first must not cut it short.
+        std::thread::sleep(SECOND_STOP_AFTER);
         for entry in &self.entries {
             entry.signal(Signal::TERM)?;
         }
