Pass headers end to end; end tickets whose run fails; bound deadlines; count the wait rightly

Cause, each found by reading: a call kept only its content type, so authorization or cookies never reached a backend server; a ticket whose run failed in an unforeseen way stayed in progress and kept the table from forgetting; cancelled requests still counted for the predicted wait and made others refused early. headers_pass_end_to_end and cancelled_requests_do_not_count failed first. Change: end-to-end headers pass both ways, hop-by-hop ones and ours do not; a guard ends the ticket as may-have-run; deadlines count as ten minutes at most; waiting requests are counted by class.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -104,6 +104,9 @@
     short: FairQueue<QueueId>,
     long: FairQueue<QueueId>,
     waiting: HashMap<QueueId, QueuedRequest>,
+    /// Waiting requests of each class; the lines may also hold cancelled ones.
+    waiting_short: usize,
+    waiting_long: usize,
     deadlines: BTreeSet<(MonoTime, QueueId)>,
     long_yield: Duration,
     long_micros: f64,
@@ -118,6 +121,8 @@
             short: FairQueue::default(),
             long: FairQueue::default(),
             waiting: HashMap::new(),
+            waiting_short: 0,
+            waiting_long: 0,
             deadlines: BTreeSet::new(),
             long_yield: Duration::from_millis(500),
             long_micros: 0.0,
@@ -194,6 +199,7 @@
             line.push(&request.caller, arrived, request.id);
         }
         self.deadlines.insert((request.deadline, request.id));
+        *self.waiting_of(request.class) += 1;
         self.waiting.insert(request.id, request);
         self.advance(now)
     }
@@ -202,6 +208,7 @@
     pub fn cancel(&mut self, id: QueueId) {
         if let Some(gone) = self.waiting.remove(&id) {
             self.deadlines.remove(&(gone.deadline, id));
+            *self.waiting_of(gone.class) -= 1;
         }
     }
 
@@ -234,6 +241,13 @@
         self.deadlines.first().map(|(deadline, _)| *deadline)
     }
 
+    fn waiting_of(&mut self, class: WorkClass) -> &mut usize {
+        match class {
+            WorkClass::Short => &mut self.waiting_short,
+            WorkClass::Long => &mut self.waiting_long,
+        }
+    }
+
     fn refusal_on_arrival(&self, now: MonoTime, request: &QueuedRequest) -> Option<RefusalCause> {
         if request.deadline <= now {
             return Some(RefusalCause::DeadlinePassed);
@@ -252,10 +266,10 @@
     fn predicted_wait(&self, now: MonoTime, class: WorkClass) -> Duration {
         let typical = self.slots.typical().as_micros() as f64;
         let slots = f64::from(self.slots.usable_slots(now).max(1));
-        let short_ahead = self.short.len() as f64 * typical;
+        let short_ahead = self.waiting_short as f64 * typical;
         let long_ahead = match class {
             WorkClass::Short => 0.0,
-            WorkClass::Long => self.long.len() as f64 * self.long_micros.max(typical),
+            WorkClass::Long => self.waiting_long as f64 * self.long_micros.max(typical),
         };
         Duration::from_micros(((short_ahead + long_ahead) / slots) as u64)
     }
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -7,6 +7,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use bytes::Bytes;
+use model::wire::HeaderLine;
 use model::{CallerName, IncarnationId, InstanceName, MonoTime, RunVerdict, ServiceName};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::{HashMap, VecDeque};
@@ -143,8 +144,8 @@
 pub struct StoredAnswer {
     /// HTTP status.
     pub status: u16,
-    /// Content type, if the backend server gave one.
-    pub content_type: Option<SmolStr>,
+    /// The backend server's headers for the caller.
+    pub headers: Vec<HeaderLine>,
     /// The backend server that ran the request.
     pub server: SmolStr,
     /// Wait for a slot, in microseconds.
--- a/crates/dispatch/tests/queue.rs
+++ b/crates/dispatch/tests/queue.rs
@@ -190,3 +190,16 @@
     bench.finish(3, 1, SlotOutcome::Abandoned);
     assert!(bench.order().contains(&500), "{:?}", bench.order());
 }
+
+#[test]
+fn cancelled_requests_do_not_count_for_the_wait() {
+    let mut bench = QueueBench::new(vec![server(1, 1, false)]);
+    bench.arrive(0, 1, "a", Short, 60_000);
+    bench.finish(10, 1, SlotOutcome::Answered);
+    for id in 2..12 {
+        bench.arrive(10, id, "a", Short, 60_000);
+        bench.queue.cancel(QueueId(id));
+    }
+    bench.arrive(10, 99, "b", Short, 60);
+    assert_eq!(bench.refused, vec![]);
+}
--- a/crates/dispatch/tests/search.rs
+++ b/crates/dispatch/tests/search.rs
@@ -141,7 +141,7 @@
             {
                 next.end(TicketEnd::Ran(Some(Arc::new(StoredAnswer {
                     status: 200,
-                    content_type: None,
+                    headers: Vec::new(),
                     server: "s1".into(),
                     queue_micros: 0,
                     body: Bytes::from_static(b"ok"),
--- a/crates/dispatch/tests/tickets.rs
+++ b/crates/dispatch/tests/tickets.rs
@@ -26,7 +26,7 @@
 fn ran(body: &'static str) -> TicketEnd {
     TicketEnd::Ran(Some(Arc::new(StoredAnswer {
         status: 200,
-        content_type: None,
+        headers: Vec::new(),
         server: "s1".into(),
         queue_micros: 0,
         body: Bytes::from_static(body.as_bytes()),
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to calls that no backend server gave.
 
 use bytes::Bytes;
-use model::wire::ErrorBody;
+use model::wire::{ErrorBody, HeaderLine};
 use model::{InstanceName, Millis, RunVerdict};
 use peer::ForwardAnswer;
 use smol_str::SmolStr;
@@ -130,7 +130,10 @@
     ForwardAnswer {
         verdict,
         status,
-        content_type: Some("application/json".into()),
+        headers: vec![HeaderLine {
+            name: SmolStr::new_static("content-type"),
+            value: b"application/json".to_vec(),
+        }],
         server: SmolStr::default(),
         instance: instance.clone(),
         queue_micros: 0,
--- a/crates/entry/src/caller_port.rs
+++ b/crates/entry/src/caller_port.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{CallRefusal, lost_answer};
 use crate::call::{CallOrigin, CallerKey, serve_call};
+use crate::headers::{add_headers, end_to_end};
 use crate::once;
 use crate::refuse::{WorkClaim, refuse_call};
 use crate::traffic::TrafficState;
@@ -11,7 +12,7 @@
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::{any, get, post};
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, header};
+use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use model::wire::{
     ADDRESSES_PATH, ATTEMPT_HEADER, AddressAnswer, CALL_PATH, CALLER_HEADER, DEADLINE_HEADER,
@@ -31,6 +32,8 @@
 const HEADER_MAX_BYTES: usize = 512;
 /// How long the body of a request may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a call may take; a longer deadline counts as this one.
+const DEADLINE_MAX: Millis = Millis(600_000);
 /// Who a call is from when it does not say.
 const ANONYMOUS: &str = "anonymous";
 
@@ -163,7 +166,7 @@
     let headers = &parts.headers;
     let deadline = match header_value::<Millis>(headers, DEADLINE_HEADER)? {
         Some(Millis(0)) => return Err(bad_request("the deadline has passed")),
-        Some(deadline) => deadline,
+        Some(deadline) => deadline.min(DEADLINE_MAX),
         None => default_deadline(traffic, &service)?,
     };
     let caller = match header_value::<CallerName>(headers, CALLER_HEADER)? {
@@ -180,7 +183,7 @@
         method: parts.method.as_str().into(),
         path: backend_path(path_and_query, service.as_str()),
         service,
-        content_type: header_value(headers, header::CONTENT_TYPE.as_str())?,
+        headers: end_to_end(headers),
         deadline,
         depth: header_value(headers, DEPTH_HEADER)?.unwrap_or(CallDepth(0)),
         ticket: header_value(headers, TICKET_HEADER)?,
@@ -237,19 +240,18 @@
         .header(VERDICT_HEADER, answer.verdict.as_str())
         .header(INSTANCE_HEADER, answer.instance.as_str())
         .header(QUEUE_HEADER, answer.queue_micros);
-    if let Some(content_type) = &answer.content_type {
-        builder = builder.header(header::CONTENT_TYPE, content_type.as_str());
-    }
     if !answer.server.is_empty() {
         builder = builder.header(SERVER_HEADER, answer.server.as_str());
     }
     if let Some(retry_after) = answer.retry_after {
         builder = builder.header(RETRY_AFTER_HEADER, retry_after.to_smolstr().as_str());
     }
-    let instance = answer.instance.clone();
-    builder.body(Body::from(answer.body)).unwrap_or_else(|_| {
-        // The backend server's status or content type cannot be passed on.
-        debug_assert_eq!(answer.verdict, RunVerdict::Ran);
-        call_response(lost_answer(&instance))
-    })
+    match builder.body(Body::from(answer.body)) {
+        Ok(mut response) => {
+            add_headers(response.headers_mut(), &answer.headers);
+            response
+        }
+        // Names, numbers and verdicts make valid headers, so only a status can be wrong.
+        Err(_) => call_response(lost_answer(&answer.instance)),
+    }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod call;
 mod caller_port;
 mod control_thread;
+mod headers;
 mod instance;
 mod local;
 mod logging;
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -1,6 +1,7 @@
 //! Runs a call on a backend server of this instance's choice.
 
 use crate::answer::{CallRefusal, unknown_answer};
+use crate::headers::{add_headers, end_to_end};
 use crate::service::{ServiceRuntime, SlotLease, SlotRequest};
 use crate::traffic::{TrafficState, lock};
 use bytes::Bytes;
@@ -248,13 +249,12 @@
         .header(REQUEST_HEADER, call.request.as_str())
         .header(DEPTH_HEADER, depth.0)
         .header(DEADLINE_HEADER, u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
-    if let Some(content_type) = &call.content_type {
-        builder = builder.header(header::CONTENT_TYPE, content_type.as_str());
-    }
     if let Some(ticket) = &call.ticket {
         builder = builder.header(IDEMPOTENCY_HEADER, ticket.as_str());
     }
-    builder.body(Full::new(call.body.clone()))
+    let mut request = builder.body(Full::new(call.body.clone()))?;
+    add_headers(request.headers_mut(), &call.headers);
+    Ok(request)
 }
 
 fn answered(
@@ -263,11 +263,10 @@
     queue_micros: u64,
     response: Response<Bytes>,
 ) -> ForwardAnswer {
-    let content_type = response.headers().get(header::CONTENT_TYPE);
     ForwardAnswer {
         verdict: RunVerdict::Ran,
         status: response.status().as_u16(),
-        content_type: content_type.and_then(|value| value.to_str().ok()).map(SmolStr::new),
+        headers: end_to_end(response.headers()),
         server: server.as_str().into(),
         instance: traffic.settings.name.clone(),
         queue_micros,
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -167,13 +167,42 @@
             answer_until: self.deadline.after(LATE_ANSWER_SPAN),
             tried: &tried,
         };
+        let guard = RunGuard { traffic: &self.traffic, serial: self.serial, sender };
         let answer = run_local(&self.traffic, &self.service, &local).await;
-        let end = end_of(answer);
+        guard.close(end_of(answer));
+    }
+}
+
+/// Ends a ticket once, also when its run fails in an unforeseen way.
+struct RunGuard<'a> {
+    traffic: &'a TrafficState,
+    serial: TicketSerial,
+    sender: watch::Sender<Option<TicketEnd>>,
+}
+
+impl RunGuard<'_> {
+    fn close(self, end: TicketEnd) {
+        self.record(end);
+    }
+
+    /// Records the end. The table keeps the first one, so that the drop after a close changes
+    /// nothing.
+    fn record(&self, end: TicketEnd) {
         let mut running = lock(&self.traffic.running);
         let end = lock(&self.traffic.tickets).end(self.serial, end);
         running.remove(&self.serial);
         drop(running);
-        sender.send_replace(Some(end));
+        self.sender.send_if_modified(|told| {
+            let is_first = told.is_none();
+            told.get_or_insert(end);
+            is_first
+        });
+    }
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        self.record(TicketEnd::MayHaveRun);
     }
 }
 
@@ -183,7 +212,7 @@
         RunVerdict::MayHaveRun => TicketEnd::MayHaveRun,
         RunVerdict::Ran => TicketEnd::Ran(Some(Arc::new(StoredAnswer {
             status: answer.status,
-            content_type: answer.content_type,
+            headers: answer.headers,
             server: answer.server,
             queue_micros: answer.queue_micros,
             body: answer.body,
@@ -219,7 +248,7 @@
         TicketEnd::Ran(Some(stored)) => ForwardAnswer {
             verdict: RunVerdict::Ran,
             status: stored.status,
-            content_type: stored.content_type.clone(),
+            headers: stored.headers.clone(),
             server: stored.server.clone(),
             instance: instance.clone(),
             queue_micros: stored.queue_micros,
--- a/crates/entry/tests/bad_input.rs
+++ b/crates/entry/tests/bad_input.rs
@@ -103,6 +103,16 @@
     oversized_head: (long_head().as_bytes(), "HTTP/1.1 431");
 } }
 
+#[test]
+fn deadline_beyond_all_bounds_is_served() {
+    let fleet = TestFleet::start(1, 1);
+    for text in ["600001", "18446744073709551615"] {
+        let answer = fleet.call(0, "GET", CALL, &[("lacewing-deadline-ms", text)], "");
+        assert_eq!(verdict_of(&answer), Some(RunVerdict::Ran), "{text}");
+    }
+    fleet.close();
+}
+
 #[test]
 fn wrong_token_is_refused_and_counted() {
     let fleet = TestFleet::start(1, 1);
--- a/crates/entry/tests/connections.rs
+++ b/crates/entry/tests/connections.rs
@@ -167,3 +167,29 @@
     ten_layers: (9, 502, 9 + 4);
     deeper_than_allowed: (30, 502, 17);
 } }
+
+/// Sends a request with headers and gives the answer to it, whose text repeats one of them.
+#[test]
+fn headers_pass_end_to_end_and_no_further() {
+    let fleet = TestFleet::start(2, 1);
+    for entry in 0..2 {
+        let headers = [
+            ("x-echo", "for the server"),
+            ("authorization", "Basic abc"),
+            ("connection", "x-private"),
+            ("x-private", "for this hop"),
+            ("x-shed", "not-run"),
+        ];
+        let path = "/v1/call/orders/lookup?echo=true";
+        let answer = fleet.call(entry, "GET", path, &headers, "");
+        assert_eq!(verdict_of(&answer), Some(RunVerdict::Ran));
+        let seen = answer.headers().get("x-seen").unwrap().to_str().unwrap().to_owned();
+        assert!(seen.contains("x-echo=for the server;"), "{seen}");
+        assert!(seen.contains("authorization=Basic abc;"), "{seen}");
+        for name in ["x-private", "x-shed", "connection"] {
+            assert!(!seen.contains(&format!("{name}=")), "{seen}");
+        }
+        assert!(answer.headers().get("x-load-in-flight").is_none());
+    }
+    fleet.close();
+}
--- a/crates/model/src/wire.rs
+++ b/crates/model/src/wire.rs
@@ -45,6 +45,15 @@
 /// Path under which callers send requests.
 pub const CALL_PATH: &str = "/v1/call";
 
+/// A header that passes between callers and backend servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeaderLine {
+    /// Its name, in lower case.
+    pub name: SmolStr,
+    /// Its value, which need not be text.
+    pub value: Vec<u8>,
+}
+
 /// The answer to a caller that asked which addresses to use.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AddressAnswer {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between instances.
 
 use bytes::Bytes;
+use model::wire::HeaderLine;
 use model::{
     CallDepth, CallerName, ConfigDocument, FleetDigest, InstanceName, InstanceRecord, Millis,
     RequestId, RunVerdict, ServiceName, StoreRevision,
@@ -21,8 +22,8 @@
     pub method: SmolStr,
     /// Path and query at the backend server.
     pub path: SmolStr,
-    /// Content type of the body, if given.
-    pub content_type: Option<SmolStr>,
+    /// The caller's headers for the backend server.
+    pub headers: Vec<HeaderLine>,
     /// Time left.
     pub deadline: Millis,
     /// Calls above this one.
@@ -42,8 +43,8 @@
     pub verdict: RunVerdict,
     /// HTTP status for the caller.
     pub status: u16,
-    /// Content type of the body, if any.
-    pub content_type: Option<SmolStr>,
+    /// The backend server's headers for the caller.
+    pub headers: Vec<HeaderLine>,
     /// The backend server that answered; empty if none did.
     pub server: SmolStr,
     /// The instance that served the call.
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -239,6 +239,9 @@
     work_ms: Option<u64>,
     /// Instance through which the work calls the same service again.
     chain_via: Option<SocketAddr>,
+    /// Whether the answer repeats the headers of the request.
+    #[serde(default)]
+    echo: bool,
     /// Calls that are still to follow below; the last one is shed.
     chain_left: Option<u32>,
 }
@@ -281,7 +284,19 @@
     }
     let request = headers.get(REQUEST_HEADER).and_then(|id| id.to_str().ok()).unwrap_or_default();
     let text = format!("{} {method} {uri} {request} {} bytes\n", shared.settings.name, body.len());
-    answer(&shared, text, faults)
+    let mut response = answer(&shared, text, faults);
+    if params.echo {
+        response.headers_mut().insert("x-seen", seen_headers(&headers));
+    }
+    response
+}
+
+fn seen_headers(headers: &HeaderMap) -> http::HeaderValue {
+    let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        format!("{name}={};", value.to_str().unwrap_or_default())
+    };
+    let text: String = headers.iter().map(line).collect();
+    http::HeaderValue::from_str(&text).unwrap_or(http::HeaderValue::from_static(""))
 }
 
 /// Calls the next service of a chain and passes its failure on as one of its own.
