Find silence sooner: judge a home by its other answers, a backend server by typical times

A shorter fixed span would double the work of a busy home, since waiting in its queue looks like silence. Change: a home that answered nothing at all since the call arrived counts as silent after 150 ms and is passed over; a busy one gets a second way after half of the time within the retry budget. Short work is slow at a backend server after 30 typical spans, at least 150 ms. The caller library tries its second address only when the first has answered nothing since the call began.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -22,6 +22,8 @@
 
 /// How long one instance may take to answer a question about addresses or tickets.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long an instance may answer nothing before a call is also tried at another.
+const SILENCE_SPAN: Duration = Duration::from_millis(250);
 /// Time beyond its deadline in which an instance can still say how a call ended.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Tickets taken at once.
@@ -82,6 +84,8 @@
     tickets: HashMap<ServiceName, Vec<KeptTicket>>,
     /// Instances that did not answer a moment ago go last.
     failed: HashMap<SocketAddr, Instant>,
+    /// When an instance last answered a call.
+    heard: HashMap<SocketAddr, Instant>,
 }
 
 /// How long an instance that did not answer is tried last.
@@ -163,8 +167,8 @@
         CallEnd { tries, ..CallEnd::default() }.report(started, None)
     }
 
-    /// Calls by the first address; when half of the time has passed, also by the second. The first
-    /// try is not cut off, since the request may only be a straggler.
+    /// Calls by the first address; when that seems silent, also by the second. The first try is not
+    /// cut off, since the request may only be a straggler.
     async fn call_hedged(
         &self,
         parts: &CallParts<'_>,
@@ -173,8 +177,17 @@
     ) -> CallEnd {
         let half = started + deadline.saturating_duration_since(started) / 2;
         let mut first = pin!(self.call_in_order(parts, 0, deadline));
-        if let Ok(end) = tokio::time::timeout_at(half.into(), &mut first).await {
-            return end;
+        for due in [half.min(started + SILENCE_SPAN), half] {
+            if let Ok(end) = tokio::time::timeout_at(due.into(), &mut first).await {
+                return end;
+            }
+            if self.is_first_silent(parts.service, started).await {
+                break;
+            }
+        }
+        if !self.is_first_silent(parts.service, started).await {
+            // The instance is busy and not silent; another one would only add to its work.
+            return first.await;
         }
         let second = pin!(self.call_in_order(parts, 1, deadline));
         match select(first, second).await {
@@ -184,6 +197,15 @@
         }
     }
 
+    /// Whether the first address of a service has answered nothing since `started`.
+    async fn is_first_silent(&self, service: &ServiceName, started: Instant) -> bool {
+        let addresses = self.addresses(service).await;
+        let Some(first) = addresses.first() else {
+            return true;
+        };
+        self.lock().heard.get(first).is_none_or(|heard| *heard < started)
+    }
+
     /// Tries the addresses in order, beginning at `first`, until an instance answers, the deadline
     /// passes, or the first try of a ticket proves that it was never sent.
     async fn call_in_order(
@@ -356,8 +378,11 @@
         };
         let until = deadline + ANSWER_MARGIN;
         let result = self.pool.exchange(address, request, choice, until).await;
-        if result.is_err() {
-            self.note_failed(address);
+        match &result {
+            Ok(_) => {
+                self.lock().heard.insert(address, Instant::now());
+            }
+            Err(_) => self.note_failed(address),
         }
         result
     }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -145,6 +145,11 @@
         self.slots.in_flight()
     }
 
+    /// Mean service time of short work over all servers, zero if unknown.
+    pub fn typical(&self) -> Duration {
+        self.slots.typical()
+    }
+
     /// What the rule sees now.
     pub fn views(&self, now: MonoTime) -> Vec<(ServerName, ServerView)> {
         self.slots.views(now)
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -2,26 +2,32 @@
 //! on at most once.
 
 use crate::answer::{CallRefusal, unknown_answer};
-use crate::local::{LocalCall, RepeatPolicy, run_local};
+use crate::local::{LocalCall, RepeatPolicy, TriedServer, run_local};
 use crate::once::serve_once;
 use crate::refuse::{WorkClaim, refuse_call};
 use crate::service::ServiceRuntime;
-use crate::traffic::TrafficState;
+use crate::traffic::{TrafficState, lock};
 use control::FleetView;
 use dispatch::learn::route_of;
 use futures::future::{Either, select};
-use model::{InstanceRecord, MonoTime, RunVerdict, ServerName, WorkClass};
+use model::{InstanceRecord, MonoTime, RunVerdict, WorkClass};
 use peer::{ForwardAnswer, ForwardCall, PeerError};
 use smol_str::SmolStr;
 use std::pin::pin;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use timeline::{EventKind, HybridTime};
 
 /// Deepest accepted chain of calls.
 pub const DEPTH_MAX: u32 = 16;
 /// Share of its time after which a call is also tried another way.
 const HEDGE_SHARE: f64 = 0.5;
+/// How long a home may answer nothing before short work is also tried another way.
+const SILENCE_SPAN: Duration = Duration::from_millis(150);
+/// Short work counts as slow after this many typical spans at a backend server.
+const SLOW_FACTOR: u32 = 30;
+/// Age below which work at a backend server never counts as slow.
+const SLOW_MIN: Duration = Duration::from_millis(150);
 /// Time beyond its deadline in which another instance can still say how a call ended.
 pub(crate) const FORWARD_MARGIN: Duration = Duration::from_millis(50);
 
@@ -163,22 +169,18 @@
     if rule.unwrap_or(is_safe) { RepeatPolicy::Idempotent } else { RepeatPolicy::Once }
 }
 
-/// Serves a call that may repeat. When it is not answered in a share of its time, a second way is
-/// tried at the same time; the first is not cut off, since it may only be a straggler.
+/// Serves a call that may repeat. When it seems to meet silence, a second way is tried at the same
+/// time; the first is not cut off, since it may only be a straggler.
 async fn serve_idempotent(traffic: &TrafficState, context: &CallContext<'_>) -> ForwardAnswer {
     context.service.record_request();
     let tried = Mutex::default();
-    let left = context.deadline.since(context.arrived);
-    let hedge_at = context.arrived.after(left.mul_f64(HEDGE_SHARE));
-    let hedge_at = traffic.clock.instant_of(hedge_at);
     let here = || serve_here(traffic, context, &tried);
     let home = match context.origin {
         CallOrigin::Caller => forward_home(traffic, context),
         CallOrigin::Peer => None,
     };
     let Some(home) = home else {
-        let may_hedge = || context.service.take_retry();
-        return hedge(hedge_at, here(), may_hedge, here()).await;
+        return hedge(here(), server_is_slow(traffic, context, &tried), here()).await;
     };
     let at_home = async {
         let answer = forward_to_home(traffic, context, home).await;
@@ -191,18 +193,64 @@
             }
         }
     };
-    // The home's silence is found by the first call, so that later ones pass it over.
-    let may_hedge = || {
-        traffic.avoid_instance(&home.name);
-        true
+    hedge(at_home, home_is_silent(traffic, context, home), here()).await
+}
+
+/// Ends when a call has been with a backend server for far longer than is typical, or half of its
+/// time has passed; tells whether the retry budget allows a second way.
+async fn server_is_slow(
+    traffic: &TrafficState,
+    context: &CallContext<'_>,
+    tried: &Mutex<Vec<TriedServer>>,
+) -> bool {
+    let slow_span = match context.class {
+        WorkClass::Short => (context.service.typical() * SLOW_FACTOR).max(SLOW_MIN),
+        WorkClass::Long => context.deadline.since(context.arrived),
+    };
+    let half = half_time(context);
+    loop {
+        let now = traffic.clock.now();
+        let sent = lock(tried).first().map(|tried| tried.at);
+        let due = sent.unwrap_or(now).after(slow_span).min(half);
+        if now >= due {
+            return context.service.take_retry();
+        }
+        tokio::time::sleep_until(traffic.clock.instant_of(due).into()).await;
+    }
+}
+
+/// Ends when the home has answered nothing at all since the call arrived, so that it seems silent
+/// and not busy. A busy home gets a second way only after half of the time, within the budget.
+async fn home_is_silent(
+    traffic: &TrafficState,
+    context: &CallContext<'_>,
+    home: &InstanceRecord,
+) -> bool {
+    let half = half_time(context);
+    let early = match context.class {
+        WorkClass::Short => context.arrived.after(SILENCE_SPAN).min(half),
+        WorkClass::Long => half,
     };
-    hedge(hedge_at, at_home, may_hedge, here()).await
+    for due in [early, half] {
+        tokio::time::sleep_until(traffic.clock.instant_of(due).into()).await;
+        if !traffic.was_heard_since(&home.name, context.arrived) {
+            // Later calls pass it over without waiting.
+            traffic.avoid_instance(&home.name);
+            return true;
+        }
+    }
+    context.service.take_retry()
+}
+
+fn half_time(context: &CallContext<'_>) -> MonoTime {
+    let left = context.deadline.since(context.arrived);
+    context.arrived.after(left.mul_f64(HEDGE_SHARE))
 }
 
 async fn serve_here(
     traffic: &TrafficState,
     context: &CallContext<'_>,
-    tried: &Mutex<Vec<ServerName>>,
+    tried: &Mutex<Vec<TriedServer>>,
 ) -> ForwardAnswer {
     let local = LocalCall {
         call: context.call,
@@ -216,21 +264,19 @@
     run_local(traffic, &context.service, &local).await
 }
 
-/// Takes the answer of the first way; after `hedge_at`, and if `may_hedge` allows it, also tries
-/// the second one and takes whichever the work ran on first.
+/// Takes the answer of the first way; when `starts` ends with true before that, also tries the
+/// second one and takes whichever the work ran on first.
 async fn hedge(
-    hedge_at: Instant,
     first: impl Future<Output = ForwardAnswer>,
-    may_hedge: impl FnOnce() -> bool,
+    starts: impl Future<Output = bool>,
     second: impl Future<Output = ForwardAnswer>,
 ) -> ForwardAnswer {
-    let mut first = pin!(first);
-    if let Ok(answer) = tokio::time::timeout_at(hedge_at.into(), &mut first).await {
-        return answer;
-    }
-    if !may_hedge() {
-        return first.await;
-    }
+    let first = pin!(first);
+    let first = match select(first, pin!(starts)).await {
+        Either::Left((answer, _)) => return answer,
+        Either::Right((false, first)) => return first.await,
+        Either::Right((true, first)) => first,
+    };
     match select(first, pin!(second)).await {
         Either::Left((answer, _)) | Either::Right((answer, _))
             if answer.verdict == RunVerdict::Ran =>
@@ -306,6 +352,7 @@
     };
     traffic.metrics.forwards.with_label_values(&[label]).inc();
     if let Ok(answer) = &result {
+        traffic.record_heard(&to.name);
         traffic.ring.clock().observe(HybridTime(answer.clock));
     }
     result
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -51,12 +51,21 @@
     /// How long a dispatched request may stay with the backend server.
     pub answer_until: MonoTime,
     /// Servers to which the call was sent before, also by an attempt at the same time.
-    pub tried: &'a Mutex<Vec<ServerName>>,
+    pub tried: &'a Mutex<Vec<TriedServer>>,
+}
+
+/// A backend server to which a call was sent.
+#[derive(Debug, Clone)]
+pub struct TriedServer {
+    /// The server.
+    pub server: ServerName,
+    /// When the call was sent.
+    pub at: MonoTime,
 }
 
 impl LocalCall<'_> {
     fn tried(&self) -> Vec<ServerName> {
-        lock(self.tried).clone()
+        lock(self.tried).iter().map(|tried| tried.server.clone()).collect()
     }
 }
 
@@ -99,7 +108,8 @@
         let class = local.class.as_str();
         traffic.metrics.queue_seconds.with_label_values(&[class]).observe(waited.as_secs_f64());
         let server = lease.grant().server.clone();
-        lock(local.tried).push(server.clone());
+        let tried = TriedServer { server: server.clone(), at: traffic.clock.now() };
+        lock(local.tried).push(tried);
         let is_last = lock(local.tried).len() >= ATTEMPTS_MAX;
         let end = attempt(traffic, service, local, lease).await;
         let cause = match end {
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -106,6 +106,11 @@
         self.lock().routes.record(route, span);
     }
 
+    /// Mean service time of short work over all backend servers, zero if unknown.
+    pub fn typical(&self) -> Duration {
+        self.lock().queue.typical()
+    }
+
     /// Counts a first attempt for the retry budget.
     pub fn record_request(&self) {
         self.lock().retries.record_request();
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -53,6 +53,7 @@
     pub(crate) running: Mutex<RunningTickets>,
     services: ArcSwap<HashMap<ServiceName, Arc<ServiceRuntime>>>,
     avoided: Mutex<HashMap<InstanceName, MonoTime>>,
+    heard: Mutex<HashMap<InstanceName, MonoTime>>,
     next_request: AtomicU64,
 }
 
@@ -79,6 +80,7 @@
             running: Mutex::default(),
             services: ArcSwap::default(),
             avoided: Mutex::default(),
+            heard: Mutex::default(),
             next_request: AtomicU64::new(0),
             settings,
         }
@@ -158,6 +160,16 @@
         lock(&self.avoided).get(name).is_some_and(|until| now < *until)
     }
 
+    /// Takes note of an answer of another instance to a forwarded call.
+    pub fn record_heard(&self, name: &InstanceName) {
+        lock(&self.heard).insert(name.clone(), self.clock.now());
+    }
+
+    /// Whether another instance answered a forwarded call after `time`.
+    pub fn was_heard_since(&self, name: &InstanceName, time: MonoTime) -> bool {
+        lock(&self.heard).get(name).is_some_and(|heard| *heard > time)
+    }
+
     /// Tells the control thread of an event. It is gone only when the process stops.
     pub fn notify(&self, event: ControlEvent) {
         let _ = self.control.send(event);
