--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod member;
 pub mod reducer;
 pub mod rendezvous;
+pub mod ring;
 pub mod view;
 
 pub use event::{ControlEffect, ControlEvent, StateChange, StoreCall};
--- a/crates/control/src/reducer.rs
+++ b/crates/control/src/reducer.rs
@@ -3,6 +3,7 @@
 use crate::event::{ControlEffect, ControlEvent, StateChange, StoreCall};
 use crate::member::{FleetMember, MemberLife, MemberNews, MemberTable};
 use crate::rendezvous;
+use crate::ring::HeartbeatRing;
 use crate::view::{FleetView, MemberView, ServiceHomes, assign_homes};
 use model::{
     ConfigDocument, ConfigVersion, DigestLine, FleetDigest, IncarnationId, InstanceName,
@@ -259,34 +260,14 @@
         }
     }
 
-    /// Targets at doubling distances around the ring of members, two at a time, so that news
-    /// reaches all members in a logarithmic number of rounds. Gone members are tried as well.
     fn heartbeat_targets(&mut self) -> Vec<SocketAddr> {
-        let mut ring: Vec<(u64, SocketAddr)> = self
-            .members
-            .known()
-            .map(|member| {
-                let name = member.record.name.as_str();
-                (rendezvous::weight("ring", name), member.record.peer_address)
-            })
-            .collect();
+        let ring = HeartbeatRing::new(&self.this, self.members.known().map(|m| &m.record));
         if ring.is_empty() {
             return self.settings.seeds.clone();
         }
-        ring.sort_unstable();
-        let own = rendezvous::weight("ring", self.this.name.as_str());
-        let start = ring.partition_point(|(weight, _)| *weight < own);
-        let rounds = usize::BITS - ring.len().leading_zeros();
-        let mut to = Vec::new();
-        for _ in 0..HEARTBEAT_FANOUT {
-            let distance = (1_usize << (self.heartbeat_turn % rounds as usize)) - 1;
-            self.heartbeat_turn = self.heartbeat_turn.wrapping_add(1);
-            let address = ring[(start + distance) % ring.len()].1;
-            if !to.contains(&address) {
-                to.push(address);
-            }
-        }
-        to
+        let turn = self.heartbeat_turn;
+        self.heartbeat_turn = turn.wrapping_add(HEARTBEAT_FANOUT);
+        ring.targets(turn, HEARTBEAT_FANOUT)
     }
 
     fn store_answered(&mut self, now: MonoTime, effects: &mut Effects) {
