--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -56,24 +56,14 @@
         settings: DaemonSettings,
         store: Arc<dyn PlatformStore>,
     ) -> Result<Self> {
-        let mut settings = settings;
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(settings.threads)
-            .thread_name("traffic")
-            .enable_all()
-            .build()
-            .context("starting the traffic threads")?;
-        let callers = bind(&runtime, &mut settings.caller_address, "caller_address")?;
-        let operators = bind(&runtime, &mut settings.operator_address, "operator_address")?;
-        let peers = bind(&runtime, &mut settings.peer_address, "peer_address")?;
-        let proof = TokenProof::of_token(&settings.token);
-        let record = own_record(&settings, new_incarnation());
-        let control_settings =
-            ControlSettings { seeds: settings.seeds.clone(), ..ControlSettings::default() };
-        let state = ControlState::new(control_settings, record);
+        let runtime = traffic_runtime(settings.threads)?;
+        let ports = EntryPorts::bind(&runtime, settings)?;
+        let state = control_state(&ports.settings);
+        let proof = TokenProof::of_token(&ports.settings.token);
         let (events, event_receiver) = mpsc::unbounded_channel();
         let clients = PeerClients::new(proof.clone());
-        let traffic = Arc::new(TrafficState::new(settings, state.view(), clients, events));
+        let traffic = TrafficState::new(ports.settings, state.view(), clients, events);
+        let traffic = Arc::new(traffic);
         let (digest, digest_receiver) = watch::channel(state.digest(traffic.clock.now()));
         let (stop, stop_receiver) = watch::channel(false);
         let shell = ControlShell::new(
@@ -88,13 +78,14 @@
             .spawn(move || run_control(shell, stop_receiver))
             .context("starting the control thread")?;
         let handler = Arc::new(EntryPeer::new(Arc::clone(&traffic), digest_receiver));
-        runtime.spawn(accept_peers(peers, proof, handler));
+        runtime.spawn(accept_peers(ports.peers, proof, handler));
         runtime.spawn(advance_queues(Arc::clone(&traffic)));
         runtime.spawn(run_prober(Arc::clone(&traffic), Arc::clone(&store)));
         let operator_state = Arc::new(OperatorState { traffic: Arc::clone(&traffic), store });
+        let handle = runtime.handle();
         let servers = vec![
-            serve_http(runtime.handle(), callers, caller_routes(Arc::clone(&traffic))),
-            serve_http(runtime.handle(), operators, operator_routes(operator_state)),
+            serve_http(handle, ports.callers, caller_routes(Arc::clone(&traffic))),
+            serve_http(handle, ports.operators, operator_routes(operator_state)),
         ];
         Ok(Self { traffic, runtime, control, stop, servers })
     }
@@ -156,6 +147,39 @@
     }
 }
 
+/// The bound ports of an instance, with settings that name the addresses that they got.
+struct EntryPorts {
+    settings: DaemonSettings,
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl EntryPorts {
+    fn bind(runtime: &Runtime, mut settings: DaemonSettings) -> Result<Self> {
+        let callers = bind(runtime, &mut settings.caller_address, "caller_address")?;
+        let operators = bind(runtime, &mut settings.operator_address, "operator_address")?;
+        let peers = bind(runtime, &mut settings.peer_address, "peer_address")?;
+        Ok(Self { settings, callers, operators, peers })
+    }
+}
+
+fn traffic_runtime(threads: usize) -> Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context("starting the traffic threads")
+}
+
+fn control_state(settings: &DaemonSettings) -> ControlState {
+    let record = own_record(settings, new_incarnation());
+    let control_settings =
+        ControlSettings { seeds: settings.seeds.clone(), ..ControlSettings::default() };
+    ControlState::new(control_settings, record)
+}
+
 /// Binds a port and puts the address that it got into the settings.
 fn bind(runtime: &Runtime, address: &mut SocketAddr, key: &str) -> Result<TcpListener> {
     let listener = std::net::TcpListener::bind(*address)
