--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller_port;
 mod control_thread;
 mod headers;
+mod idempotent;
 mod instance;
 mod local;
 mod logging;
