Refuse what no request can be made of; count probes over a whole fleet

Cause, found by reading: the caller library panicked on a path with a space, since it expected every path to be a valid URI. library_refuses_a_space and library_refuses_a_control_character cover it. Also, a slot's waiter holds its receiver plainly, so that an unreachable branch is gone.

--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -5,7 +5,7 @@
 use futures::future::{Either, select};
 use http::{Method, Request, Response, header};
 use http_body_util::Full;
-use link::{ConnectionChoice, LinkError, LinkPool, LinkPoolBuilder, SendProof};
+use link::{ConnectionChoice, LinkPool, LinkPoolBuilder, SendProof};
 use model::wire::{
     ADDRESSES_PATH, AddressAnswer, CALL_PATH, CALLER_HEADER, DEADLINE_HEADER, REQUEST_HEADER,
     TICKET_HEADER, TICKETS_PATH, TicketAnswer, TicketState,
@@ -75,6 +75,14 @@
     kept: Mutex<KeptAnswers>,
 }
 
+/// Why a try at one instance failed.
+enum TryError {
+    /// The path or an id has characters that no request may hold.
+    BadRequest,
+    /// The exchange failed.
+    Link(SendProof),
+}
+
 struct CallParts<'a> {
     service: &'a ServiceName,
     method: Method,
@@ -133,7 +141,7 @@
             };
             let mut end = self.call_hedged(&parts, started, deadline).await;
             end.tries += tries;
-            if end.answer.is_some() || end.may_have_run {
+            if end.answer.is_some() || end.may_have_run || end.is_bad {
                 return end.report(started, Some(ticket));
             }
             // No byte of a request with this ticket was written, so another one is safe.
@@ -205,7 +213,14 @@
                         end.answer = Some(answer);
                         return end;
                     }
-                    Err(cause) => end.may_have_run |= cause.proof() == SendProof::MaybeSent,
+                    // No address would take it.
+                    Err(TryError::BadRequest) => {
+                        end.is_bad = true;
+                        return end;
+                    }
+                    Err(TryError::Link(proof)) => {
+                        end.may_have_run |= proof == SendProof::MaybeSent;
+                    }
                 }
                 if parts.ticket.is_some() && !end.may_have_run {
                     return end;
@@ -228,7 +243,7 @@
     ) -> Result<TicketState, NoInstanceError> {
         let path = format_smolstr!("{TICKETS_PATH}/{ticket}");
         for address in self.addresses(service).await {
-            if let Ok(answer) = self.ask(Method::GET, address, &path).await
+            if let Some(answer) = self.ask(Method::GET, address, &path).await
                 && let Ok(state) = serde_json::from_slice(answer.body())
             {
                 return Ok(state);
@@ -264,7 +279,7 @@
             instances.sort_by_key(|at| kept.failed.get(at).is_some_and(|until| now < *until));
         }
         for instance in instances {
-            let Ok(answer) = self.ask(Method::GET, instance, &path).await else {
+            let Some(answer) = self.ask(Method::GET, instance, &path).await else {
                 self.note_failed(instance);
                 continue;
             };
@@ -290,7 +305,7 @@
         }
         let path = format_smolstr!("{TICKETS_PATH}/{service}?count={TICKET_BATCH}");
         for address in self.addresses(service).await {
-            let Ok(answer) = self.ask(Method::POST, address, &path).await else {
+            let Some(answer) = self.ask(Method::POST, address, &path).await else {
                 self.note_failed(address);
                 continue;
             };
@@ -308,29 +323,30 @@
         None
     }
 
+    /// Asks an instance; gives none if it does not answer or if `path` is no valid one.
     async fn ask(
         &self,
         method: Method,
         address: SocketAddr,
         path: &str,
-    ) -> Result<Response<Bytes>, LinkError> {
+    ) -> Option<Response<Bytes>> {
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header(header::HOST, address.to_smolstr().as_str())
             .header(CALLER_HEADER, self.name.as_str())
             .body(Full::default())
-            .expect("a path of names and digits is a valid URI");
+            .ok()?;
         let deadline = Instant::now() + ASK_TIMEOUT;
-        self.pool.exchange(address, request, ConnectionChoice::Pooled, deadline).await
+        self.pool.exchange(address, request, ConnectionChoice::Pooled, deadline).await.ok()
     }
 
-    async fn try_call(
+    fn request(
         &self,
         parts: &CallParts<'_>,
         address: SocketAddr,
         deadline: Instant,
-    ) -> Result<Response<Bytes>, LinkError> {
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
         let left = deadline.saturating_duration_since(Instant::now());
         let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
         let mut builder = Request::builder()
@@ -345,9 +361,16 @@
         if let Some(ticket) = &parts.ticket {
             builder = builder.header(TICKET_HEADER, ticket.as_str());
         }
-        let request = builder
-            .body(Full::new(parts.body.clone()))
-            .expect("names, digits and a path make a valid request");
+        builder.body(Full::new(parts.body.clone()))
+    }
+
+    async fn try_call(
+        &self,
+        parts: &CallParts<'_>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, TryError> {
+        let request = self.request(parts, address, deadline).map_err(|_| TryError::BadRequest)?;
         let choice = match parts.ticket {
             Some(_) => ConnectionChoice::Recent,
             None => ConnectionChoice::Pooled,
@@ -360,7 +383,7 @@
             }
             Err(_) => self.note_failed(address),
         }
-        result
+        result.map_err(|cause| TryError::Link(cause.proof()))
     }
 
     fn note_failed(&self, address: SocketAddr) {
--- a/crates/caller/src/report.rs
+++ b/crates/caller/src/report.rs
@@ -39,6 +39,8 @@
     pub(crate) may_have_run: bool,
     /// Tries at instances.
     pub(crate) tries: u32,
+    /// Whether no request can be made of what the caller gave.
+    pub(crate) is_bad: bool,
 }
 
 impl CallEnd {
@@ -60,7 +62,7 @@
         let tries = self.tries + other.tries;
         let answer =
             if other.is_final() || self.answer.is_none() { other.answer } else { self.answer };
-        Self { answer, may_have_run, tries }
+        Self { answer, may_have_run, tries, is_bad: self.is_bad || other.is_bad }
     }
 
     pub(crate) fn report(self, started: Instant, ticket: Option<SmolStr>) -> CallReport {
--- a/crates/entry/src/idempotent.rs
+++ b/crates/entry/src/idempotent.rs
@@ -19,6 +19,7 @@
 const SLOW_FACTOR: u32 = 30;
 /// Age below which work at a backend server never counts as slow.
 const SLOW_MIN: Duration = Duration::from_millis(150);
+
 /// Serves a call that may repeat. When it seems to meet silence, a second way is tried at the same
 /// time; the first is not cut off, since it may only be a straggler.
 pub(crate) async fn serve_idempotent(
--- a/crates/entry/src/prober.rs
+++ b/crates/entry/src/prober.rs
@@ -134,11 +134,13 @@
         let Some(server) = settings.servers.get(&name) else {
             return;
         };
+        // The look-up above may have taken a while; the lease counts at the moment of the send.
+        if !self.pacer.may_send(traffic.clock.now()) {
+            return;
+        }
         traffic.metrics.probes.inc();
         traffic.ring.record(EventKind::Probed { service: service.clone(), server: name.clone() });
-        if self.pacer.may_send(traffic.clock.now()) {
-            probe(traffic, &runtime, &name, server).await;
-        }
+        probe(traffic, &runtime, &name, server).await;
     }
 }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -149,12 +149,9 @@
     pub async fn acquire(self: &Arc<Self>, request: SlotRequest) -> Result<SlotLease, SlotRefusal> {
         let (sender, receiver) = oneshot::channel();
         let id = self.enqueue(request, sender);
-        let mut waiter = SlotWaiter { service: Arc::clone(self), id, receiver: Some(receiver) };
-        let decision = match &mut waiter.receiver {
-            Some(receiver) => receiver.await,
-            None => unreachable!("the receiver is taken only below and on drop"),
-        };
-        waiter.receiver = None;
+        let mut waiter = SlotWaiter { service: Arc::clone(self), id, receiver, is_decided: false };
+        let decision = (&mut waiter.receiver).await;
+        waiter.is_decided = true;
         match decision {
             Ok(Ok(grant)) => Ok(SlotLease { service: Arc::clone(self), id, grant: Some(grant) }),
             Ok(Err(refusal)) => Err(refusal),
@@ -230,16 +227,17 @@
 struct SlotWaiter {
     service: Arc<ServiceRuntime>,
     id: QueueId,
-    receiver: Option<oneshot::Receiver<SlotDecision>>,
+    receiver: oneshot::Receiver<SlotDecision>,
+    is_decided: bool,
 }
 
 impl Drop for SlotWaiter {
     fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else {
+        if self.is_decided {
             return;
-        };
+        }
         self.service.cancel(self.id);
-        if let Ok(Ok(grant)) = receiver.try_recv() {
+        if let Ok(Ok(grant)) = self.receiver.try_recv() {
             self.service.finish(&abandoned(self.id, grant));
         }
     }
--- a/crates/entry/tests/connections.rs
+++ b/crates/entry/tests/connections.rs
@@ -193,3 +193,25 @@
     }
     fleet.close();
 }
+
+/// Calls by the caller library with a path that may not be a valid one.
+fn check_library(path: &str, verdict: RunVerdict, runs: usize) {
+    let fleet = TestFleet::start(2, 1);
+    let bootstrap = vec![fleet.caller_address(0), fleet.caller_address(1)];
+    let client = caller::CallerClient::new("clerk".parse().unwrap(), bootstrap);
+    let service = "orders".parse().unwrap();
+    let allowed = Duration::from_secs(20);
+    let lookup = fleet.runtime.block_on(client.lookup(&service, path, None, allowed));
+    let booking = fleet.runtime.block_on(client.book(&service, path, Bytes::new(), allowed));
+    assert_eq!((lookup.verdict, booking.verdict), (verdict, verdict));
+    assert_eq!((lookup.tries, booking.tries), (1, 1));
+    assert_eq!(fleet.ledger().runs.len(), runs);
+    client.close();
+    fleet.close();
+}
+
+cases! { check_library {
+    library_serves_a_valid_path: ("/lookup", RunVerdict::Ran, 1);
+    library_refuses_a_space: ("/a b", RunVerdict::NotRun, 0);
+    library_refuses_a_control_character: ("/a\n", RunVerdict::NotRun, 0);
+} }
