--- a/crates/control/src/reducer.rs
+++ b/crates/control/src/reducer.rs
@@ -18,7 +18,7 @@
 const HEARTBEAT_SPAN: Duration = Duration::from_millis(500);
 /// Instances that receive each heartbeat.
 const HEARTBEAT_FANOUT: usize = 2;
-/// Time between reads of the platform's list by an instance that watches the store.
+/// Time between reads of the platform's list by the first watcher of a data centre.
 const LIST_SPAN: Duration = Duration::from_secs(2);
 /// Time between such reads by the others, which hear of changes with heartbeats.
 const LIST_SPAN_OTHERS: Duration = Duration::from_secs(10);
@@ -214,7 +214,7 @@
         if now >= self.list_due && !self.list_pending {
             self.list_pending = true;
             let is_alone = self.members.known().next().is_none();
-            let reads_often = is_alone || self.is_watcher();
+            let reads_often = is_alone || self.watch_rank() == 0;
             self.list_due = now.after(if reads_often { LIST_SPAN } else { LIST_SPAN_OTHERS });
             effects.push(ControlEffect::ListInstances);
         }
@@ -228,7 +228,7 @@
         let stale = self.confirmed_at.is_none_or(|at| now.since(at) >= CONFIRM_SPAN);
         let call = if stale || self.config.is_none() {
             StoreCall::Read
-        } else if self.is_watcher() {
+        } else if self.watch_rank() < self.settings.watchers {
             StoreCall::Watch(self.revision)
         } else {
             return;
@@ -237,7 +237,8 @@
         effects.push(ControlEffect::CallStore(call));
     }
 
-    fn is_watcher(&self) -> bool {
+    /// The place of this instance in the order in which those of its data centre watch.
+    fn watch_rank(&self) -> usize {
         let centre = &self.this.data_centre;
         let mut names: Vec<&InstanceName> = self
             .members
@@ -248,7 +249,7 @@
             .collect();
         names.push(&self.this.name);
         let ordered = rendezvous::order("watch", &names, |name| name.as_str());
-        ordered.iter().take(self.settings.watchers).any(|name| **name == &self.this.name)
+        ordered.iter().take_while(|name| ***name != &self.this.name).count()
     }
 
     fn send_heartbeat(&mut self, now: MonoTime, effects: &mut Effects) {
--- a/crates/xtask/src/control.rs
+++ b/crates/xtask/src/control.rs
@@ -38,8 +38,8 @@
     case(17, 34, 1_000, 0),
 ];
 
-/// Measures all cases for `span` each and prints a row for each.
-pub fn run_control(span: Duration) -> Result<()> {
+/// Measures the cases, or those with so many instances, for `span` each and prints a row for each.
+pub fn run_control(span: Duration, instances: Option<u16>) -> Result<()> {
     build_release()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     println!(
@@ -47,6 +47,9 @@
          store reads/s writes/s watches/s (per instance, but store calls in all)"
     );
     for case in CASES {
+        if instances.is_some_and(|instances| instances != case.entries) {
+            continue;
+        }
         runtime.block_on(measure(case, span))?;
     }
     Ok(())
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -31,6 +31,9 @@
         /// Length of each measurement, in seconds
         #[bpaf(argument("SECONDS"), fallback(12))]
         seconds: u64,
+        /// Only the cases with so many instances
+        #[bpaf(argument("COUNT"))]
+        instances: Option<u16>,
     },
     /// Compare the dispatch rules under load
     #[bpaf(command)]
@@ -83,8 +86,8 @@
         ChoreOptions::Ci => ci::run_ci(),
         ChoreOptions::Processes => processes::run_processes(),
         ChoreOptions::Added => added::run_added(),
-        ChoreOptions::Control { seconds } => {
-            control::run_control(std::time::Duration::from_secs(seconds))
+        ChoreOptions::Control { seconds, instances } => {
+            control::run_control(std::time::Duration::from_secs(seconds), instances)
         }
         ChoreOptions::Bench {
             entries,
