Drop kept tickets when an instance seems silent

Cause: after a freeze of the home, callers went on with tickets of the frozen process, each of which ended may-have-run, although a ticket of another instance could have run.

--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -173,6 +173,8 @@
             // The instance is busy and not silent; another one would only add to its work.
             return first.await;
         }
+        // Kept tickets may be those of the silent instance, which cannot run them now.
+        self.drop_tickets(parts.service);
         let second = pin!(self.call_in_order(parts, 1, deadline));
         match select(first, second).await {
             Either::Left((end, _)) | Either::Right((end, _)) if end.is_final() => end,
