--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use error::{LinkError, SendProof};
 pub use pool::{ConnectionChoice, LinkPool, LinkPoolBuilder};
-pub use server::{HttpServer, serve_http};
+pub use server::{HttpServer, serve_http, serve_limited};
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -5,10 +5,11 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::JoinHandle;
 
 /// How long the head of a request may take to arrive.
@@ -36,8 +37,19 @@
     }
 }
 
-/// Serves `routes` on a port.
+/// Serves `routes` on a port, with as many connections as come.
 pub fn serve_http(runtime: &Handle, listener: TcpListener, routes: Router) -> HttpServer {
+    serve_limited(runtime, listener, routes, Semaphore::MAX_PERMITS)
+}
+
+/// Serves `routes` on a port; connections beyond the limit are closed at once.
+pub fn serve_limited(
+    runtime: &Handle,
+    listener: TcpListener,
+    routes: Router,
+    connections: usize,
+) -> HttpServer {
+    let places = Arc::new(Semaphore::new(connections));
     let (stop, mut stopped) = watch::channel(false);
     let task = runtime.spawn(async move {
         let graceful = GracefulShutdown::new();
@@ -48,7 +60,11 @@
                 _ = stopped.changed() => break,
             };
             match accepted {
-                Ok((stream, _)) => serve_stream(&builder, &graceful, stream, routes.clone()),
+                Ok((stream, _)) => {
+                    if let Ok(place) = Arc::clone(&places).try_acquire_owned() {
+                        serve_stream(&builder, &graceful, stream, routes.clone(), place);
+                    }
+                }
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
@@ -79,6 +95,7 @@
     graceful: &GracefulShutdown,
     stream: TcpStream,
     routes: Router,
+    place: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
     let service = TowerToHyperService::new(routes);
@@ -87,5 +104,6 @@
     tokio::spawn(async move {
         // A broken connection is the caller's to notice; calls are counted by their verdicts.
         let _ = watched.await;
+        drop(place);
     });
 }
--- a/crates/programs/src/bin/lacewing-standin.rs
+++ b/crates/programs/src/bin/lacewing-standin.rs
@@ -34,6 +34,9 @@
         /// Requests it works on at once
         #[bpaf(argument("COUNT"), fallback(6))]
         slots: u32,
+        /// Connections it accepts
+        #[bpaf(argument("COUNT"), fallback(240))]
+        connections: usize,
         /// Work of a request that names none, in milliseconds
         #[bpaf(argument("MS"), fallback(4))]
         work_ms: u64,
@@ -73,6 +76,7 @@
             listen,
             name,
             slots,
+            connections,
             work_ms,
             stragglers,
             factor,
@@ -81,6 +85,7 @@
         } => {
             let settings = BackendSettingsBuilder::new(name, listen)
                 .slots(slots)
+                .connections(connections)
                 .service_time(Duration::from_millis(work_ms))
                 .stragglers(stragglers, factor)
                 .cold_span(Duration::from_millis(cold_ms))
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -8,7 +8,7 @@
 use axum::routing::{any, get, post};
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
-use link::{HttpServer, serve_http};
+use link::{HttpServer, serve_limited};
 use model::wire::{
     CALL_PATH, DEADLINE_HEADER, DEPTH_HEADER, DRAIN_HEADER, IDEMPOTENCY_HEADER, LOAD_HEADER,
     REQUEST_HEADER, SHED_HEADER,
@@ -57,6 +57,7 @@
     name: ServerName,
     address: SocketAddr,
     slots: u32,
+    connections: usize,
     waiting_max: u32,
     service_time: Duration,
     straggler_share: f64,
@@ -77,6 +78,7 @@
             name,
             address,
             slots: 6,
+            connections: 240,
             waiting_max: 64,
             service_time: Duration::from_millis(4),
             straggler_share: 0.0,
@@ -93,6 +95,12 @@
         self
     }
 
+    /// Sets how many connections are accepted.
+    pub fn connections(mut self, count: usize) -> Self {
+        self.0.connections = count;
+        self
+    }
+
     /// Sets how many requests may wait for a slot before others are shed.
     pub fn waiting_max(mut self, count: u32) -> Self {
         self.0.waiting_max = count;
@@ -189,7 +197,8 @@
             .fallback(any(work))
             .with_state(Arc::clone(&shared));
         let handle = tokio::runtime::Handle::current();
-        let server = serve_http(&handle, listener, routes);
+        let connections = shared.settings.connections;
+        let server = serve_limited(&handle, listener, routes, connections);
         Ok(Self { address, shared, server })
     }
 
