--- a/crates/xtask/src/bench.rs
+++ b/crates/xtask/src/bench.rs
@@ -11,7 +11,6 @@
 use programs::load::{LoadPlan, LoadReport, run_load};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use rustix::process::Signal;
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
@@ -159,9 +158,7 @@
     while Instant::now() + (SLOWDOWN_GAP + SLOWDOWN) * scale < end {
         tokio::time::sleep(SLOWDOWN_GAP * scale).await;
         let server = &servers[random.random_range(0..servers.len())];
-        server.signal(Signal::STOP)?;
-        tokio::time::sleep(SLOWDOWN * scale).await;
-        server.signal(Signal::CONT)?;
+        server.freeze(SLOWDOWN * scale).await?;
     }
     Ok(())
 }
--- a/crates/xtask/src/chaos.rs
+++ b/crates/xtask/src/chaos.rs
@@ -128,22 +128,14 @@
             tokio::time::sleep(span).await;
             fleet.entries[entry].start()?;
         }
-        ChaosFault::FreezeEntry => {
-            fleet.entries[entry].signal(Signal::STOP)?;
-            tokio::time::sleep(span).await;
-            fleet.entries[entry].signal(Signal::CONT)?;
-        }
+        ChaosFault::FreezeEntry => fleet.entries[entry].freeze(span).await?,
         ChaosFault::StopEntry => {
             fleet.entries[entry].signal(Signal::TERM)?;
             let code = fleet.entries[entry].wait()?;
             *tally.stop_codes.entry(code).or_default() += 1;
             fleet.entries[entry].start()?;
         }
-        ChaosFault::FreezeServer => {
-            fleet.servers[server].signal(Signal::STOP)?;
-            tokio::time::sleep(span).await;
-            fleet.servers[server].signal(Signal::CONT)?;
-        }
+        ChaosFault::FreezeServer => fleet.servers[server].freeze(span).await?,
         ChaosFault::ServerFault => {
             let address = fleet.servers[server].address;
             fleet.post(address, BACKEND_FAULTS_PATH, &server_fault(random)).await?;
@@ -155,11 +147,7 @@
             tokio::time::sleep(span).await;
             fleet.post(fleet.store.address, FAULTS_PATH, &StoreFaults::default()).await?;
         }
-        ChaosFault::FreezeStore => {
-            fleet.store.signal(Signal::STOP)?;
-            tokio::time::sleep(span).await;
-            fleet.store.signal(Signal::CONT)?;
-        }
+        ChaosFault::FreezeStore => fleet.store.freeze(span).await?,
         ChaosFault::LapseLeases => fleet.post(fleet.store.address, LAPSE_PATH, &()).await?,
         ChaosFault::RivalChanges => rival_changes(fleet, random, tally).await,
     }
--- a/crates/xtask/src/fleet.rs
+++ b/crates/xtask/src/fleet.rs
@@ -87,6 +87,13 @@
         Ok(kill_process(pid, signal)?)
     }
 
+    /// Stops the process for a while without its notice.
+    pub async fn freeze(&self, span: Duration) -> Result<()> {
+        self.signal(Signal::STOP)?;
+        tokio::time::sleep(span).await;
+        self.signal(Signal::CONT)
+    }
+
     /// The process id, while it runs.
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
