--- /dev/null
+++ b/crates/balance/src/picture.rs
@@ -0,0 +1,360 @@
+//! The load picture: what this instance believes of each backend server, and how old that is.
+
+use model::{DataCentre, IncarnationId, Millis, MonoTime, ServerName, ServiceName, SlotCount};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time in which knowledge of a server's pace fades to the mean of all servers. The pace changes
+/// about twice a second.
+const PACE_FADE: Duration = Duration::from_millis(400);
+/// How long a report of requests from elsewhere holds.
+const REPORT_SPAN: Duration = Duration::from_millis(600);
+/// First and longest pause of a server that cannot be reached.
+const PAUSE_FIRST: Duration = Duration::from_millis(150);
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+/// Pause of a server that turned a request away although it seemed free.
+const SHED_PAUSE: Duration = Duration::from_millis(60);
+/// Time in which failures are forgotten by half.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Answers that a new server is credited with, so that one failure does not condemn it.
+const CREDIT: f64 = 4.0;
+/// Weight of the newest pace in the mean over all servers.
+const MEAN_WEIGHT: f64 = 0.02;
+/// Pace that is assumed before any report.
+const PACE_FIRST: f64 = 1.0;
+/// How much slower a server is just after its start.
+const COLD_FACTOR: f64 = 2.0;
+/// How long a server that sent stray bytes gets requests that must not repeat on new connections
+/// only.
+const STRAY_SPAN: Duration = Duration::from_secs(10);
+
+/// Identifies one run of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ServerKey {
+    /// Its id.
+    pub name: ServerName,
+    /// Its run.
+    pub incarnation: IncarnationId,
+}
+
+/// A backend server as the store tells it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendSpec {
+    /// Which run of which server.
+    pub key: ServerKey,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Requests that it works on at once.
+    pub slots: SlotCount,
+    /// Whether it takes no more work.
+    pub is_leaving: bool,
+    /// How much longer it is slow after its start.
+    pub warm_up_left: Millis,
+}
+
+/// What a backend server says of its load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// How many times longer than usual work takes at this moment.
+    pub pace: f64,
+}
+
+/// How an exchange with a backend server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeOutcome {
+    /// A whole answer, whatever its status, but for the failures below.
+    Answered,
+    /// An answer that says that the server failed.
+    Failed,
+    /// The server turned the request away without running it.
+    Shed,
+    /// Another server has the address, or the server is not the one that was meant.
+    Misdirected,
+    /// No connection could be opened.
+    Unreachable,
+    /// The connection broke, or the answer was not this request's.
+    Broken,
+    /// No whole answer came in time.
+    TimedOut,
+    /// The caller went away, or another copy was answered first.
+    Abandoned,
+}
+
+/// A backend server and what is believed of it.
+#[derive(Debug, Clone)]
+pub struct BackendState {
+    /// What the store tells.
+    pub spec: BackendSpec,
+    flights: HashMap<u64, MonoTime>,
+    foreign: u32,
+    pace: f64,
+    reported_at: Option<MonoTime>,
+    successes: f64,
+    failures: f64,
+    weighed_at: MonoTime,
+    misses: u32,
+    paused_until: MonoTime,
+    is_misdirected: bool,
+    stray_until: MonoTime,
+    warm_at: MonoTime,
+    first_seen: MonoTime,
+}
+
+impl BackendState {
+    fn new(now: MonoTime, spec: BackendSpec) -> Self {
+        Self {
+            warm_at: now.after(spec.warm_up_left.span()),
+            spec,
+            flights: HashMap::new(),
+            foreign: 0,
+            pace: PACE_FIRST,
+            reported_at: None,
+            successes: CREDIT,
+            failures: 0.0,
+            weighed_at: now,
+            misses: 0,
+            paused_until: MonoTime(0),
+            is_misdirected: false,
+            stray_until: MonoTime(0),
+            first_seen: now,
+        }
+    }
+
+    /// Whether it may get new work now.
+    pub fn is_usable(&self, now: MonoTime) -> bool {
+        !self.spec.is_leaving && !self.is_misdirected && now >= self.paused_until
+    }
+
+    /// Whether it may get work at some time.
+    pub fn is_hopeful(&self) -> bool {
+        !self.spec.is_leaving && !self.is_misdirected
+    }
+
+    /// Requests that it has, of this instance and of others.
+    pub fn occupancy(&self, now: MonoTime) -> u32 {
+        let own = u32::try_from(self.flights.len()).unwrap_or(u32::MAX);
+        let is_current = self.reported_at.is_some_and(|at| now.since(at) < REPORT_SPAN);
+        own + if is_current { self.foreign } else { 0 }
+    }
+
+    /// Requests of this instance.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Age of the latest report, if there was one.
+    pub fn report_age(&self, now: MonoTime) -> Option<Duration> {
+        self.reported_at.map(|at| now.since(at))
+    }
+
+    /// The last reported pace and the weight of that report, which fades with its age.
+    pub fn pace(&self, now: MonoTime) -> (f64, f64) {
+        let Some(at) = self.reported_at else {
+            return (self.pace, 0.0);
+        };
+        let age = now.since(at).as_secs_f64() / PACE_FADE.as_secs_f64();
+        (self.pace, (-age).exp())
+    }
+
+    /// How much slower than usual it is because it started lately.
+    pub fn cold_factor(&self, now: MonoTime) -> f64 {
+        if now < self.warm_at { COLD_FACTOR } else { 1.0 }
+    }
+
+    /// Part of the exchanges that fail, by the latest ones.
+    pub fn failure_share(&self, now: MonoTime) -> f64 {
+        let keep = self.forget_factor(now);
+        let failures = self.failures * keep;
+        let successes = CREDIT + (self.successes - CREDIT) * keep;
+        failures / (failures + successes)
+    }
+
+    /// Whether a connection to it may hold stray bytes.
+    pub fn is_stray(&self, now: MonoTime) -> bool {
+        now < self.stray_until
+    }
+
+    /// When it was first seen.
+    pub fn first_seen(&self) -> MonoTime {
+        self.first_seen
+    }
+
+    fn forget_factor(&self, now: MonoTime) -> f64 {
+        let halves = now.since(self.weighed_at).as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64();
+        0.5_f64.powf(halves)
+    }
+
+    fn weigh(&mut self, now: MonoTime, failed: bool) {
+        let keep = self.forget_factor(now);
+        self.failures = self.failures * keep + f64::from(u8::from(failed));
+        self.successes = CREDIT + (self.successes - CREDIT) * keep + f64::from(u8::from(!failed));
+        self.weighed_at = now;
+    }
+
+    fn miss(&mut self, now: MonoTime) {
+        let span = PAUSE_FIRST * 2_u32.saturating_pow(self.misses.min(8));
+        self.misses += 1;
+        self.paused_until = now.after(span.min(PAUSE_MAX));
+    }
+
+    fn record_report(&mut self, now: MonoTime, report: LoadReport, own: usize) {
+        let own = u32::try_from(own).unwrap_or(u32::MAX);
+        self.foreign = (report.running + report.waiting).saturating_sub(own);
+        self.pace = report.pace;
+        self.reported_at = Some(now);
+        self.misses = 0;
+    }
+}
+
+/// All backend servers that this instance knows.
+#[derive(Debug, Clone)]
+pub struct LoadPicture {
+    servers: HashMap<ServerKey, BackendState>,
+    by_service: HashMap<ServiceName, Vec<ServerKey>>,
+    mean_pace: f64,
+}
+
+impl Default for LoadPicture {
+    fn default() -> Self {
+        Self { servers: HashMap::new(), by_service: HashMap::new(), mean_pace: PACE_FIRST }
+    }
+}
+
+impl LoadPicture {
+    /// Takes over the servers that the store tells and keeps what is known of those that stay. A
+    /// server that leaves does not come back in the same run.
+    pub fn set_servers(&mut self, now: MonoTime, specs: Vec<BackendSpec>) {
+        let mut known = std::mem::take(&mut self.servers);
+        self.by_service.clear();
+        for spec in specs {
+            let state = match known.remove(&spec.key) {
+                Some(mut state) => {
+                    let is_leaving = state.spec.is_leaving || spec.is_leaving;
+                    if spec.warm_up_left != state.spec.warm_up_left {
+                        state.warm_at = now.after(spec.warm_up_left.span());
+                    }
+                    if spec.address != state.spec.address {
+                        state.is_misdirected = false;
+                    }
+                    state.spec = BackendSpec { is_leaving, ..spec };
+                    state
+                }
+                None => BackendState::new(now, spec),
+            };
+            let key = state.spec.key.clone();
+            self.by_service.entry(state.spec.service.clone()).or_default().push(key.clone());
+            self.servers.insert(key, state);
+        }
+        for keys in self.by_service.values_mut() {
+            keys.sort_by(|left, right| left.name.as_str().cmp(right.name.as_str()));
+        }
+    }
+
+    /// The servers of a service.
+    pub fn servers_of<'a>(
+        &'a self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &'a BackendState> {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        keys.iter().filter_map(|key| self.servers.get(key))
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &BackendState> {
+        self.servers.values()
+    }
+
+    /// One server.
+    pub fn server(&self, key: &ServerKey) -> Option<&BackendState> {
+        self.servers.get(key)
+    }
+
+    /// Mean pace over all servers.
+    pub fn mean_pace(&self) -> f64 {
+        self.mean_pace
+    }
+
+    /// Whether a server said by itself that it leaves.
+    pub fn mark_leaving(&mut self, key: &ServerKey) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.spec.is_leaving = true;
+        }
+    }
+
+    /// Counts a request that is sent to a server.
+    pub fn start_flight(&mut self, now: MonoTime, key: &ServerKey, flight: u64) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.flights.insert(flight, now);
+        }
+    }
+
+    /// Takes over a report that came with an answer or a health check; `sent_own` is the number of
+    /// own requests that the server had when it was made.
+    pub fn record_report(&mut self, now: MonoTime, key: &ServerKey, report: LoadReport) {
+        let Some(state) = self.servers.get_mut(key) else {
+            return;
+        };
+        let own = state.flights.len();
+        state.record_report(now, report, own);
+        self.mean_pace += MEAN_WEIGHT * (report.pace - self.mean_pace);
+    }
+
+    /// Takes note of an unanswered health check, or one that says that the server is not well.
+    pub fn record_miss(&mut self, now: MonoTime, key: &ServerKey) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.miss(now);
+        }
+    }
+
+    /// Takes note of a health check that another server answered.
+    pub fn record_misdirected(&mut self, key: &ServerKey) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.is_misdirected = true;
+        }
+    }
+
+    /// Takes note that a server sent bytes that belong to no request.
+    pub fn record_stray(&mut self, now: MonoTime, key: &ServerKey) {
+        if let Some(state) = self.servers.get_mut(key) {
+            state.stray_until = now.after(STRAY_SPAN);
+        }
+    }
+
+    /// Ends a flight and learns from how it fared. Gives the span it took.
+    pub fn end_flight(
+        &mut self,
+        now: MonoTime,
+        key: &ServerKey,
+        flight: u64,
+        outcome: ExchangeOutcome,
+    ) -> Option<Duration> {
+        let state = self.servers.get_mut(key)?;
+        let sent = state.flights.remove(&flight)?;
+        match outcome {
+            ExchangeOutcome::Answered => {
+                state.misses = 0;
+                state.weigh(now, false);
+            }
+            ExchangeOutcome::Failed | ExchangeOutcome::Broken | ExchangeOutcome::TimedOut => {
+                state.weigh(now, true);
+            }
+            ExchangeOutcome::Shed => {
+                state.weigh(now, true);
+                state.paused_until = state.paused_until.max(now.after(SHED_PAUSE));
+            }
+            ExchangeOutcome::Misdirected => state.is_misdirected = true,
+            ExchangeOutcome::Unreachable => state.miss(now),
+            ExchangeOutcome::Abandoned => {}
+        }
+        Some(now.since(sent))
+    }
+}
--- /dev/null
+++ b/crates/balance/src/placing.rs
@@ -0,0 +1,178 @@
+//! Which backend server gets a request, or whether it waits for a better one.
+
+use crate::picture::{BackendState, LoadPicture, ServerKey};
+use model::{DataCentre, MonoTime, ServiceName};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::time::Duration;
+
+/// How long a server keeps the pace that it has now, on average.
+const PACE_REST: Duration = Duration::from_millis(250);
+/// What a failed request costs, as time.
+const FAILURE_COST: Duration = Duration::from_millis(1_500);
+/// What a server in another data centre costs, as time; its bytes are priced.
+const DISTANCE_COST: Duration = Duration::from_millis(12);
+/// How much longer work takes at a server whose slots are all taken than at an idle one.
+const CROWDING: f64 = 0.15;
+/// Random addition that breaks ties, as a part of the cost.
+const TIE_SPREAD: f64 = 0.04;
+
+/// What a placing decision rests on.
+#[derive(Debug)]
+pub struct PlacingInputs<'a> {
+    /// The load picture.
+    pub picture: &'a LoadPicture,
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Now.
+    pub now: MonoTime,
+    /// Where this instance stands.
+    pub data_centre: &'a DataCentre,
+    /// Mean work of the request.
+    pub work: Duration,
+    /// Servers that must not get it.
+    pub avoid: &'a [ServerKey],
+    /// Requests of the service that go first.
+    pub ahead: usize,
+    /// Whether a server without a free slot may get it.
+    pub may_crowd: bool,
+}
+
+/// The decision.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlacingVerdict {
+    /// Send it there. The time it probably takes.
+    Send(ServerKey, Duration),
+    /// Keep it waiting. How long until a good slot is free, probably.
+    Wait(Duration),
+    /// No server of the service takes work.
+    NoServer,
+}
+
+/// Places requests.
+pub trait PlacingRule {
+    /// Decides for one request.
+    fn place(&mut self, inputs: &PlacingInputs<'_>) -> PlacingVerdict;
+}
+
+/// Sends to where the request is expected to finish first, or keeps it while waiting for a free slot
+/// of a server that works at its usual pace is expected to be faster.
+#[derive(Debug)]
+pub struct ExpectedFinish {
+    random: SmallRng,
+}
+
+impl Default for ExpectedFinish {
+    fn default() -> Self {
+        Self { random: SmallRng::from_rng(&mut rand::rng()) }
+    }
+}
+
+/// Time that work takes at a server whose pace is known to some degree.
+pub fn expected_span(work: Duration, pace: f64, weight: f64, mean_pace: f64) -> f64 {
+    let work = work.as_secs_f64();
+    let rest = PACE_REST.as_secs_f64();
+    let later = mean_pace.max(1.0);
+    let in_rest = rest / pace.max(0.1);
+    let known = if work <= in_rest { work * pace } else { rest + (work - in_rest) * later };
+    let unknown = work * later;
+    known * weight + unknown * (1.0 - weight)
+}
+
+impl ExpectedFinish {
+    fn cost(&mut self, inputs: &PlacingInputs<'_>, state: &BackendState) -> (f64, f64) {
+        let now = inputs.now;
+        let slots = f64::from(state.spec.slots.0.max(1));
+        let occupied = f64::from(state.occupancy(now));
+        let (pace, weight) = state.pace(now);
+        let cold = state.cold_factor(now);
+        let crowding = 1.0 + CROWDING * (occupied / slots).min(1.0);
+        let span = expected_span(inputs.work, pace, weight, inputs.picture.mean_pace());
+        let span = span * cold * crowding;
+        let queued = (occupied - slots + 1.0).max(0.0) / slots * span;
+        let failure = state.failure_share(now) * FAILURE_COST.as_secs_f64();
+        let is_near = state.spec.data_centre == *inputs.data_centre;
+        let distance = if is_near { 0.0 } else { DISTANCE_COST.as_secs_f64() };
+        let tie = 1.0 + self.random.random_range(0.0..TIE_SPREAD);
+        ((span + queued + failure + distance) * tie, span + queued)
+    }
+}
+
+fn candidates<'a>(inputs: &PlacingInputs<'a>) -> Vec<&'a BackendState> {
+    let avoid = inputs.avoid;
+    inputs
+        .picture
+        .servers_of(inputs.service)
+        .filter(|state| state.is_usable(inputs.now) && !avoid.contains(&state.spec.key))
+        .collect()
+}
+
+impl PlacingRule for ExpectedFinish {
+    fn place(&mut self, inputs: &PlacingInputs<'_>) -> PlacingVerdict {
+        let now = inputs.now;
+        let usable = candidates(inputs);
+        if usable.is_empty() {
+            return no_candidate(inputs);
+        }
+        let is_free = |state: &BackendState| state.occupancy(now) < state.spec.slots.0;
+        let mut best: Option<(&BackendState, f64, f64)> = None;
+        let mut busy = 0.0;
+        for state in usable {
+            let (pace, weight) = state.pace(now);
+            let fast = pace * weight + inputs.picture.mean_pace() * (1.0 - weight);
+            busy += f64::from(state.occupancy(now).min(state.spec.slots.0)) / fast.max(1.0);
+            if !inputs.may_crowd && !is_free(state) {
+                continue;
+            }
+            let (cost, span) = self.cost(inputs, state);
+            if best.is_none_or(|(_, lowest, _)| cost < lowest) {
+                best = Some((state, cost, span));
+            }
+        }
+        let work = inputs.work.as_secs_f64();
+        let turn = work / busy.max(1.0) * (inputs.ahead as f64 + 1.0);
+        match best {
+            Some((state, cost, span))
+                if inputs.may_crowd || cost <= turn + work * 1.3 || busy < 1.0 =>
+            {
+                PlacingVerdict::Send(state.spec.key.clone(), Duration::from_secs_f64(span))
+            }
+            _ => PlacingVerdict::Wait(Duration::from_secs_f64(turn)),
+        }
+    }
+}
+
+fn no_candidate(inputs: &PlacingInputs<'_>) -> PlacingVerdict {
+    let avoid = inputs.avoid;
+    let mut hopeful = inputs
+        .picture
+        .servers_of(inputs.service)
+        .filter(|state| state.is_hopeful() && !avoid.contains(&state.spec.key));
+    match hopeful.next() {
+        Some(_) => PlacingVerdict::Wait(inputs.work),
+        None => PlacingVerdict::NoServer,
+    }
+}
+
+/// Sends to any usable server at once: the baseline for comparisons.
+#[derive(Debug)]
+pub struct BlindRule {
+    random: SmallRng,
+}
+
+impl Default for BlindRule {
+    fn default() -> Self {
+        Self { random: SmallRng::from_rng(&mut rand::rng()) }
+    }
+}
+
+impl PlacingRule for BlindRule {
+    fn place(&mut self, inputs: &PlacingInputs<'_>) -> PlacingVerdict {
+        let usable = candidates(inputs);
+        if usable.is_empty() {
+            return no_candidate(inputs);
+        }
+        let chosen = usable[self.random.random_range(0..usable.len())];
+        PlacingVerdict::Send(chosen.spec.key.clone(), inputs.work)
+    }
+}
--- /dev/null
+++ b/crates/balance/src/queue.rs
@@ -0,0 +1,360 @@
+//! The queue of requests that wait for a slot, over all services.
+//!
+//! A request is sent only into a slot that is believed free. Higher rank goes first, then the one that
+//! arrived first. A request that probably can't be answered in time is turned away at once.
+
+use crate::budget::{BudgetPolicy, RetryWindow};
+use crate::picture::{ExchangeOutcome, LoadPicture, ServerKey};
+use crate::placing::{PlacingInputs, PlacingRule, PlacingVerdict};
+use crate::work::WorkMemory;
+use model::{DataCentre, Millis, MonoTime, ServiceName};
+use smol_str::SmolStr;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Shortest and longest time after which a caller that was turned away is asked to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
+/// Part of the mean work that must still fit before a waiting request's deadline.
+const LAST_CHANCE: f64 = 0.8;
+
+/// Bounds of the queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct QueuePolicy {
+    /// Where this instance stands.
+    pub data_centre: DataCentre,
+    /// Most requests that wait, over all services.
+    pub waiting_max: usize,
+    /// The retry budget of each service.
+    pub budget: BudgetPolicy,
+}
+
+/// A request that asks for a slot.
+#[derive(Debug, Clone)]
+pub struct RequestSpec {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its route.
+    pub route: SmolStr,
+    /// Its rank; 0 goes first.
+    pub priority: u8,
+    /// When it arrived at this instance.
+    pub arrived: MonoTime,
+    /// When an answer is of no use any more.
+    pub deadline: MonoTime,
+    /// Servers that already had it.
+    pub avoid: Vec<ServerKey>,
+}
+
+/// Identifies a request in the queue and in a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestPlace(pub u64);
+
+/// A slot that a request got.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// The server.
+    pub key: ServerKey,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether its connections may hold stray bytes.
+    pub is_stray: bool,
+    /// Requests that the server had.
+    pub occupancy: u32,
+    /// Its last reported pace.
+    pub pace: f64,
+    /// Age of the report that decided, if there was one.
+    pub report_age: Option<Duration>,
+    /// How long the request will probably take.
+    pub expected: Duration,
+}
+
+/// Why a request was turned away without being sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TurnAwayCause {
+    /// No server of the service takes work.
+    NoServer,
+    /// The queue is full.
+    QueueFull,
+    /// Its turn would come too late.
+    TooLate,
+    /// Its time passed while it waited.
+    Expired,
+}
+
+impl TurnAwayCause {
+    /// The cause as it stands in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoServer => "no_server",
+            Self::QueueFull => "queue_full",
+            Self::TooLate => "too_late",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// A request that was turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnAway {
+    /// Why.
+    pub cause: TurnAwayCause,
+    /// When there is probably room.
+    pub retry_after: Millis,
+}
+
+/// What was decided for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum QueueDecision {
+    /// Send it.
+    Send(Placement),
+    /// It can't be served.
+    TurnAway(TurnAway),
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    place: RequestPlace,
+    spec: RequestSpec,
+}
+
+/// Rank, arrival and number: the order of service.
+type OrderKey = (u8, MonoTime, u64);
+
+/// Queue, load picture and budgets of this instance.
+pub struct RequestQueue {
+    policy: QueuePolicy,
+    rule: Box<dyn PlacingRule>,
+    /// What is believed of the servers.
+    pub picture: LoadPicture,
+    /// What is known of the routes.
+    pub work: WorkMemory,
+    waiting: HashMap<ServiceName, BTreeMap<OrderKey, WaitingRequest>>,
+    waiting_count: usize,
+    budgets: HashMap<ServiceName, RetryWindow>,
+    extra_part: f64,
+    next_place: u64,
+}
+
+impl RequestQueue {
+    /// Starts empty.
+    pub fn new(policy: QueuePolicy, rule: Box<dyn PlacingRule>) -> Self {
+        Self {
+            policy,
+            rule,
+            picture: LoadPicture::default(),
+            work: WorkMemory::default(),
+            waiting: HashMap::new(),
+            waiting_count: 0,
+            budgets: HashMap::new(),
+            extra_part: 0.0,
+            next_place: 0,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting_count
+    }
+
+    /// Sets the part of the shared extra retries that this instance may use, 0 to 1.
+    pub fn set_extra_part(&mut self, part: f64) {
+        self.extra_part = part;
+        for budget in self.budgets.values_mut() {
+            budget.set_extra_part(part);
+        }
+    }
+
+    /// The retry budget of a service.
+    pub fn budget(&mut self, service: &ServiceName) -> &mut RetryWindow {
+        let (policy, part) = (self.policy.budget, self.extra_part);
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            let mut window = RetryWindow::new(policy);
+            window.set_extra_part(part);
+            window
+        })
+    }
+
+    /// A request asks for a slot. Without a decision it waits; [`Self::advance`] tells later.
+    pub fn arrive(
+        &mut self,
+        now: MonoTime,
+        spec: RequestSpec,
+    ) -> (RequestPlace, Option<QueueDecision>) {
+        self.next_place += 1;
+        let place = RequestPlace(self.next_place);
+        let ahead = self.ahead_of(&spec);
+        let verdict = self.place(now, &spec, ahead);
+        let decision = match verdict {
+            PlacingVerdict::Send(key, expected) => {
+                Some(QueueDecision::Send(self.start(now, place, key, expected)))
+            }
+            PlacingVerdict::NoServer => {
+                Some(turn_away(TurnAwayCause::NoServer, RETRY_AFTER_MIN * 10))
+            }
+            PlacingVerdict::Wait(wait) => {
+                let work = self.work.work_of(&spec.route);
+                let is_late = now.after(wait + work.mul_f64(LAST_CHANCE)) > spec.deadline;
+                if self.waiting_count >= self.policy.waiting_max {
+                    Some(turn_away(TurnAwayCause::QueueFull, wait))
+                } else if is_late {
+                    Some(turn_away(TurnAwayCause::TooLate, wait))
+                } else {
+                    self.waiting_count += 1;
+                    let order = (spec.priority, spec.arrived, place.0);
+                    let queue = self.waiting.entry(spec.service.clone()).or_default();
+                    queue.insert(order, WaitingRequest { place, spec });
+                    None
+                }
+            }
+        };
+        (place, decision)
+    }
+
+    /// A server for a further copy of a request that is already under way, if one is free now.
+    pub fn spare(
+        &mut self,
+        now: MonoTime,
+        spec: &RequestSpec,
+        within: Duration,
+    ) -> Option<(RequestPlace, Placement)> {
+        if self.ahead_of(spec) > 0 {
+            return None;
+        }
+        let PlacingVerdict::Send(key, expected) = self.place(now, spec, 0) else {
+            return None;
+        };
+        if expected > within {
+            return None;
+        }
+        self.next_place += 1;
+        let place = RequestPlace(self.next_place);
+        Some((place, self.start(now, place, key, expected)))
+    }
+
+    fn ahead_of(&self, spec: &RequestSpec) -> usize {
+        self.waiting
+            .get(&spec.service)
+            .map_or(0, |queue| queue.range(..(spec.priority, spec.arrived, u64::MAX)).count())
+    }
+
+    fn place(&mut self, now: MonoTime, spec: &RequestSpec, ahead: usize) -> PlacingVerdict {
+        let inputs = PlacingInputs {
+            picture: &self.picture,
+            service: &spec.service,
+            now,
+            data_centre: &self.policy.data_centre,
+            work: self.work.work_of(&spec.route),
+            avoid: &spec.avoid,
+            ahead,
+            may_crowd: false,
+        };
+        self.rule.place(&inputs)
+    }
+
+    fn start(
+        &mut self,
+        now: MonoTime,
+        place: RequestPlace,
+        key: ServerKey,
+        expected: Duration,
+    ) -> Placement {
+        let state = self.picture.server(&key).expect("the rule chooses a server of the picture");
+        let placement = Placement {
+            address: state.spec.address,
+            is_stray: state.is_stray(now),
+            occupancy: state.occupancy(now),
+            pace: state.pace(now).0,
+            report_age: state.report_age(now),
+            expected,
+            key: key.clone(),
+        };
+        self.picture.start_flight(now, &key, place.0);
+        placement
+    }
+
+    /// A request's exchange ended. Its slot is free.
+    pub fn finish(
+        &mut self,
+        now: MonoTime,
+        place: RequestPlace,
+        key: &ServerKey,
+        outcome: ExchangeOutcome,
+    ) -> Option<Duration> {
+        self.picture.end_flight(now, key, place.0, outcome)
+    }
+
+    /// A waiting request's caller went away.
+    pub fn cancel(&mut self, place: RequestPlace) {
+        for queue in self.waiting.values_mut() {
+            let before = queue.len();
+            queue.retain(|_, request| request.place != place);
+            self.waiting_count -= before - queue.len();
+        }
+    }
+
+    /// Decides for waiting requests after time passed, a slot came free or the picture changed.
+    pub fn advance(&mut self, now: MonoTime) -> Vec<(RequestPlace, QueueDecision)> {
+        let mut decided = Vec::new();
+        if self.waiting_count == 0 {
+            return decided;
+        }
+        let services: Vec<ServiceName> = self.waiting.keys().cloned().collect();
+        for service in services {
+            let mut queue = self.waiting.remove(&service).unwrap_or_default();
+            self.advance_service(now, &mut queue, &mut decided);
+            if !queue.is_empty() {
+                self.waiting.insert(service, queue);
+            }
+        }
+        self.waiting_count -= decided.len();
+        decided
+    }
+
+    fn advance_service(
+        &mut self,
+        now: MonoTime,
+        queue: &mut BTreeMap<OrderKey, WaitingRequest>,
+        decided: &mut Vec<(RequestPlace, QueueDecision)>,
+    ) {
+        let mut is_blocked = false;
+        let orders: Vec<OrderKey> = queue.keys().copied().collect();
+        let mut ahead = 0;
+        for order in orders {
+            let request = &queue[&order];
+            let work = self.work.work_of(&request.spec.route);
+            let place = request.place;
+            let decision = if now.after(work.mul_f64(LAST_CHANCE)) > request.spec.deadline {
+                Some(turn_away(TurnAwayCause::Expired, RETRY_AFTER_MIN))
+            } else if is_blocked {
+                None
+            } else {
+                let spec = request.spec.clone();
+                match self.place(now, &spec, ahead) {
+                    PlacingVerdict::Send(key, expected) => {
+                        Some(QueueDecision::Send(self.start(now, place, key, expected)))
+                    }
+                    PlacingVerdict::NoServer => {
+                        Some(turn_away(TurnAwayCause::NoServer, RETRY_AFTER_MIN * 10))
+                    }
+                    PlacingVerdict::Wait(_) => {
+                        // A request that avoids servers may wait although others need not.
+                        is_blocked = spec.avoid.is_empty();
+                        ahead += 1;
+                        None
+                    }
+                }
+            };
+            if let Some(decision) = decision {
+                queue.remove(&order);
+                decided.push((place, decision));
+            }
+        }
+    }
+}
+
+fn turn_away(cause: TurnAwayCause, wait: Duration) -> QueueDecision {
+    let retry_after = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX).into();
+    QueueDecision::TurnAway(TurnAway { cause, retry_after })
+}
--- a/crates/change/src/lib.rs
+++ b/crates/change/src/lib.rs
@@ -7,11 +7,11 @@
 
 use command::{ApplyError, ChangeBatch, apply_batch};
 use model::{ChangeId, ConfigDocument, IncarnationId, InstanceName, StoreRevision};
-use platform::{PlatformStore, StoreError, StoreKey, StoredValue};
 use smol_str::{SmolStr, ToSmolStr};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{PlatformStore, StoreError, StoreKey, StoredValue};
 use tokio::time::Instant;
 
 /// Pause between tries.
--- a/crates/change/tests/acceptance.rs
+++ b/crates/change/tests/acceptance.rs
@@ -5,12 +5,12 @@
 use model::{
     ChangeId, ConfigDocument, IncarnationId, InstanceName, InstanceRecord, Millis, StoreRevision,
 };
-use platform::StoredValue;
-use platform::store::{InstanceList, LeaseId, PlatformStore, StoreError, StoreFuture, StoreKey};
 use smol_str::SmolStr;
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::time::Duration;
+use store::StoredValue;
+use store::store::{InstanceList, LeaseId, PlatformStore, StoreError, StoreFuture, StoreKey};
 use testkit::cases;
 use tokio::time::Instant;
 
--- a/crates/entry/src/control_thread.rs
+++ b/crates/entry/src/control_thread.rs
@@ -7,13 +7,13 @@
     FleetDigest, IncarnationId, InstanceName, InstanceRecord, InstanceState, Millis, StoreRevision,
 };
 use peer::ConfigCopy;
-use platform::store::leaving_servers;
-use platform::{PlatformStore, StoreError, StoreKey};
 use settings::DaemonSettings;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use store::store::leaving_servers;
+use store::{PlatformStore, StoreError, StoreKey};
 use timeline::{EventKind, HybridTime};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
--- a/crates/entry/src/operator_port.rs
+++ b/crates/entry/src/operator_port.rs
@@ -13,11 +13,11 @@
 use http::{HeaderMap, StatusCode, header};
 use model::operator::{CHANGE_HEADER, COMMANDS_PATH, CommandAnswer, METRICS_PATH, TIMELINE_PATH};
 use model::{ChangeId, ConfigVersion, InstanceName};
-use platform::PlatformStore;
 use serde::Deserialize;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use store::PlatformStore;
 use timeline::{HybridTime, TimelineQuery};
 
 /// How long a change is tried at the store.
--- a/crates/entry/src/prober.rs
+++ b/crates/entry/src/prober.rs
@@ -10,11 +10,11 @@
 use http_body_util::Full;
 use link::ConnectionChoice;
 use model::{BackendServer, Leaving, Millis, MonoTime, ServerName, ServiceConfig, ServiceName};
-use platform::{LeaseId, PlatformStore, StoreError, StoreKey};
 use smol_str::{ToSmolStr, format_smolstr};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{LeaseId, PlatformStore, StoreError, StoreKey};
 use timeline::EventKind;
 
 /// Path of the load report of a backend server.
--- a/crates/entry/tests/config.rs
+++ b/crates/entry/tests/config.rs
@@ -6,10 +6,10 @@
 use command::{BatchKind, parse_batch};
 use model::operator::CommandAnswer;
 use model::{Millis, RunVerdict};
-use platform::HttpStore;
 use standin::StoreFaults;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use store::HttpStore;
 use support::{TestFleet, is_accepted, wait_until};
 use testkit::cases;
 
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,171 @@
+//! Which instances are alive, from the store's records and from heartbeats.
+
+use crate::datagram::BeatMessage;
+use crate::home::rank_members;
+use crate::record::MemberRecord;
+use model::{IncarnationId, InstanceName, MonoTime};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Silence after which an instance that should send heartbeats counts as gone; three are missing
+/// then.
+pub const SILENCE_SPAN: Duration = Duration::from_millis(900);
+/// How long an instance that is known by heartbeats alone is kept without any.
+const UNLISTED_SPAN: Duration = Duration::from_secs(10);
+
+/// An instance as this one sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberView {
+    /// Its record.
+    pub record: MemberRecord,
+    /// Whether callers may be sent to it.
+    pub is_usable: bool,
+}
+
+#[derive(Debug, Clone)]
+struct MemberState {
+    record: MemberRecord,
+    is_listed: bool,
+    heard: Option<(MonoTime, BeatMessage)>,
+    /// Since when heartbeats of it are expected.
+    expected_since: Option<MonoTime>,
+}
+
+/// All instances that are known.
+#[derive(Debug, Clone)]
+pub struct MemberTable {
+    this: MemberRecord,
+    is_ready: bool,
+    members: BTreeMap<InstanceName, MemberState>,
+    senders: usize,
+}
+
+impl MemberTable {
+    /// Starts with this instance alone. The first `senders` usable members send heartbeats to all.
+    pub fn new(this: MemberRecord, senders: usize) -> Self {
+        Self { this, is_ready: false, members: BTreeMap::new(), senders }
+    }
+
+    /// This instance.
+    pub fn this(&self) -> &MemberRecord {
+        &self.this
+    }
+
+    /// Says whether this instance takes callers.
+    pub fn set_ready(&mut self, is_ready: bool) {
+        self.is_ready = is_ready;
+    }
+
+    /// Whether this instance takes callers.
+    pub fn is_ready(&self) -> bool {
+        self.is_ready
+    }
+
+    /// Takes over the records of the store.
+    pub fn set_listed(&mut self, records: Vec<MemberRecord>) {
+        for state in self.members.values_mut() {
+            state.is_listed = false;
+        }
+        for record in records {
+            if record.name == self.this.name {
+                continue;
+            }
+            let state = self.members.entry(record.name.clone()).or_insert_with(|| MemberState {
+                record: record.clone(),
+                is_listed: true,
+                heard: None,
+                expected_since: None,
+            });
+            state.is_listed = true;
+            if record.incarnation > state.record.incarnation {
+                *state = MemberState { record, is_listed: true, heard: None, expected_since: None };
+            }
+        }
+        self.members.retain(|_, state| state.is_listed || state.heard.is_some());
+    }
+
+    /// Takes note of a heartbeat. Gives whether the sender was unknown or had counted as silent.
+    pub fn record_beat(&mut self, now: MonoTime, beat: BeatMessage) -> bool {
+        if beat.member.name == self.this.name {
+            return false;
+        }
+        let name = beat.member.name.clone();
+        let state = self.members.entry(name).or_insert_with(|| MemberState {
+            record: beat.member.clone(),
+            is_listed: false,
+            heard: None,
+            expected_since: None,
+        });
+        if beat.member.incarnation < state.record.incarnation {
+            return false;
+        }
+        let was_silent = state.heard.as_ref().is_none_or(|(at, _)| now.since(*at) > SILENCE_SPAN);
+        state.record = beat.member.clone();
+        state.heard = Some((now, beat));
+        was_silent
+    }
+
+    /// All members in rank order, this one included. Forgets those known by old heartbeats alone.
+    pub fn views(&mut self, now: MonoTime) -> Vec<MemberView> {
+        self.members.retain(|_, state| {
+            state.is_listed
+                || state.heard.as_ref().is_some_and(|(at, _)| now.since(*at) < UNLISTED_SPAN)
+        });
+        let this = MemberView { record: self.this.clone(), is_usable: self.is_ready };
+        let mut views: Vec<MemberView> = self
+            .members
+            .values()
+            .map(|state| MemberView { record: state.record.clone(), is_usable: true })
+            .chain([this])
+            .collect();
+        views = rank_members(&views).into_iter().cloned().collect();
+        self.judge(now, &mut views);
+        views
+    }
+
+    /// Decides who is usable, in rank order: the first `senders` that are not silent should be heard.
+    fn judge(&mut self, now: MonoTime, views: &mut [MemberView]) {
+        let mut expected = 0;
+        for view in views {
+            if view.record.name == self.this.name {
+                expected += usize::from(self.is_ready);
+                continue;
+            }
+            let Some(state) = self.members.get_mut(&view.record.name) else {
+                continue;
+            };
+            let is_expected = expected < self.senders;
+            if !is_expected {
+                state.expected_since = None;
+            } else if state.expected_since.is_none() {
+                state.expected_since = Some(now);
+            }
+            let heard_at = state.heard.as_ref().map(|(at, _)| *at);
+            let reference = state.expected_since.max(heard_at);
+            let is_silent = is_expected && reference.is_some_and(|at| now.since(at) > SILENCE_SPAN);
+            let is_recent = heard_at.is_some_and(|at| now.since(at) <= SILENCE_SPAN);
+            let says_ready = state.heard.as_ref().is_none_or(|(_, beat)| beat.is_ready);
+            view.is_usable = !is_silent && (says_ready || (!is_recent && !is_expected));
+            expected += usize::from(!is_silent);
+        }
+    }
+
+    /// The latest heartbeats that are not too old, with their time.
+    pub fn recent_beats(&self, now: MonoTime) -> impl Iterator<Item = (MonoTime, &BeatMessage)> {
+        self.members
+            .values()
+            .filter_map(|state| state.heard.as_ref())
+            .filter(move |(at, _)| now.since(*at) <= SILENCE_SPAN)
+            .map(|(at, beat)| (*at, beat))
+    }
+
+    /// Records of all other instances that are known.
+    pub fn others(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values().map(|state| &state.record)
+    }
+
+    /// The newest incarnation that is known of an instance.
+    pub fn incarnation(&self, name: &InstanceName) -> Option<IncarnationId> {
+        self.members.get(name).map(|state| state.record.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/caller_port.rs
@@ -0,0 +1,150 @@
+//! The port for callers: checks a request, finds its route and reads its body.
+
+use crate::exchange::{OutboundCall, end_to_end};
+use crate::serve::{CallerAnswer, RoutedCall, no_config_answer, own_answer, serve_routed};
+use crate::state::GatewayState;
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode, Uri, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use model::Millis;
+use routing::{RouteEntry, RouteTable};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Part of the memory that bodies of requests in progress may take.
+const BODY_MEMORY_SHARE: f64 = 0.25;
+/// Longest accepted deadline; a caller that names more gets this.
+const DEADLINE_MAX: Duration = Duration::from_secs(120);
+
+/// Bytes of bodies in progress, given back when dropped.
+struct BodyBytes {
+    state: Rc<GatewayState>,
+    bytes: usize,
+}
+
+impl Drop for BodyBytes {
+    fn drop(&mut self) {
+        let used = self.state.body_bytes.get();
+        self.state.body_bytes.set(used.saturating_sub(self.bytes));
+    }
+}
+
+/// Answers a request of a caller.
+pub(crate) async fn answer_caller(
+    state: Rc<GatewayState>,
+    request: Request<Incoming>,
+) -> CallerAnswer {
+    let mut answer = match accept_call(&state, request).await {
+        Ok((routed, bytes)) => {
+            let answer = serve_routed(&state, routed).await;
+            drop(bytes);
+            answer
+        }
+        Err(answer) => {
+            state.metrics.rejected(answer.status().as_u16());
+            answer
+        }
+    };
+    if state.is_stopping() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+fn host_of(request: &Request<Incoming>) -> Option<&str> {
+    if let Some(authority) = request.uri().authority() {
+        return Some(authority.as_str());
+    }
+    request.headers().get(header::HOST)?.to_str().ok()
+}
+
+fn find_route(
+    table: &RouteTable,
+    request: &Request<Incoming>,
+) -> Result<Rc<RouteEntry>, CallerAnswer> {
+    let Some(host) = host_of(request) else {
+        return Err(own_answer(StatusCode::BAD_REQUEST, "no host", None));
+    };
+    let route = table.find(host, request.uri().path());
+    route.cloned().ok_or_else(|| own_answer(StatusCode::NOT_FOUND, "no route", None))
+}
+
+async fn accept_call(
+    state: &Rc<GatewayState>,
+    request: Request<Incoming>,
+) -> Result<(RoutedCall, BodyBytes), CallerAnswer> {
+    let arrived = state.now();
+    let table = state.table().ok_or_else(no_config_answer)?;
+    let route = find_route(&table, &request)?;
+    let names = state.dialect.headers();
+    let Some(request_id) = request.headers().get(&names.request_id).cloned() else {
+        return Err(own_answer(StatusCode::BAD_REQUEST, "no request id", None));
+    };
+    let patience = match request.headers().get(&names.deadline) {
+        None => route.timeout.span(),
+        Some(value) => {
+            let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+            let Some(millis) = millis else {
+                return Err(own_answer(StatusCode::BAD_REQUEST, "deadline is no number", None));
+            };
+            Millis(millis).span().min(DEADLINE_MAX)
+        }
+    };
+    let deadline = arrived.after(patience.min(route.timeout.span()));
+    let (parts, body) = request.into_parts();
+    let due = state.clock.instant_of(deadline);
+    let limit = table.limits.body_bytes;
+    let (body, bytes) =
+        match tokio::time::timeout_at(due.into(), read_body(state, body, limit)).await {
+            Ok(read) => read?,
+            Err(_) => {
+                return Err(own_answer(StatusCode::REQUEST_TIMEOUT, "body came too slowly", None));
+            }
+        };
+    let service = state.splits.borrow_mut().next(&route).clone();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri: Uri =
+        path.parse().map_err(|_| own_answer(StatusCode::BAD_REQUEST, "path is not valid", None))?;
+    let call = OutboundCall {
+        method: parts.method,
+        uri,
+        headers: end_to_end(&parts.headers),
+        body,
+        request_id,
+        repeat: route.repeat,
+        route: route.name.clone(),
+        deadline,
+    };
+    Ok((RoutedCall { call, route, service, arrived }, bytes))
+}
+
+async fn read_body(
+    state: &Rc<GatewayState>,
+    body: Incoming,
+    limit: usize,
+) -> Result<(Bytes, BodyBytes), CallerAnswer> {
+    let told = body.size_hint().lower();
+    if told > limit as u64 {
+        return Err(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "body is too long", None));
+    }
+    let room = (state.settings().memory_mb as f64 * 1024.0 * 1024.0 * BODY_MEMORY_SHARE) as usize;
+    let mut bytes = BodyBytes { state: Rc::clone(state), bytes: 0 };
+    if state.body_bytes.get().saturating_add(usize::try_from(told).unwrap_or(usize::MAX)) > room {
+        let text = "too many bodies in progress";
+        return Err(own_answer(StatusCode::SERVICE_UNAVAILABLE, text, Some(Millis(200))));
+    }
+    let room_left = room - state.body_bytes.get();
+    match Limited::new(body, limit.min(room_left)).collect().await {
+        Ok(collected) => {
+            let body = collected.to_bytes();
+            bytes.bytes = body.len();
+            state.body_bytes.set(state.body_bytes.get() + body.len());
+            Ok((body, bytes))
+        }
+        Err(cause) if cause.is::<LengthLimitError>() => {
+            Err(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "body is too long", None))
+        }
+        Err(_) => Err(own_answer(StatusCode::BAD_REQUEST, "body is broken", None)),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_state.rs
@@ -0,0 +1,158 @@
+//! The instance's view of the fleet: the replica of the store, the members, and what follows from
+//! both.
+
+use crate::settings_file::GatewaySettings;
+use fleet::{
+    BeatMessage, ChangeBatch, MemberRecord, MemberTable, MemberView, PullAnswer, StoreChange,
+    StoreReplica, choose_homes,
+};
+use model::{ConfigVersion, IncarnationId, InstanceName, MonoTime, StoreRevision};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Members that send heartbeats to all; the others are replaced from further down the ranking.
+const SENDERS: usize = 5;
+
+/// What this instance knows of the fleet.
+pub(crate) struct FleetState {
+    pub replica: StoreReplica,
+    pub members: MemberTable,
+    /// When the store last confirmed, as far as is known here, that the replica is the newest state.
+    pub confirmed_at: Option<MonoTime>,
+    /// Whether this instance's own calls to the store fail.
+    pub store_lost: bool,
+    /// Whether this instance watches the store.
+    pub is_watching: bool,
+    /// When the store was last known to be in trouble.
+    pub trouble_at: Option<MonoTime>,
+    pub version: ConfigVersion,
+    views: Vec<MemberView>,
+    homes: Vec<MemberRecord>,
+}
+
+impl FleetState {
+    pub fn new(settings: &GatewaySettings, incarnation: IncarnationId) -> Self {
+        let this = MemberRecord {
+            name: settings.name.clone(),
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            caller_address: settings.caller_address,
+            peer_address: settings.peer_address,
+            datagram_address: settings.datagram_address,
+            capacity: settings.capacity,
+        };
+        Self {
+            replica: StoreReplica::default(),
+            members: MemberTable::new(this, SENDERS),
+            confirmed_at: None,
+            store_lost: false,
+            is_watching: false,
+            trouble_at: None,
+            version: ConfigVersion(0),
+            views: Vec::new(),
+            homes: Vec::new(),
+        }
+    }
+
+    /// Brings ranking and homes up to date. Gives whether the homes changed.
+    pub fn refresh(&mut self, now: MonoTime, home_count: usize) -> bool {
+        self.views = self.members.views(now);
+        let ranked: Vec<&MemberView> = self.views.iter().collect();
+        let homes: Vec<MemberRecord> =
+            choose_homes(&ranked, home_count).into_iter().map(|view| view.record.clone()).collect();
+        let changed = homes != self.homes;
+        self.homes = homes;
+        changed
+    }
+
+    /// The homes, the first one first.
+    pub fn homes(&self) -> &[MemberRecord] {
+        &self.homes
+    }
+
+    /// Place of this instance among the homes.
+    pub fn home_place(&self) -> Option<usize> {
+        let name = &self.members.this().name;
+        self.homes.iter().position(|home| home.name == *name)
+    }
+
+    /// Place of this instance among the usable members; behind all if it is not usable itself.
+    pub fn rank(&self) -> usize {
+        let name = &self.members.this().name;
+        let mut usable = self.views.iter().filter(|view| view.is_usable);
+        usable
+            .position(|view| view.record.name == *name)
+            .unwrap_or_else(|| self.usable_count().min(SENDERS))
+    }
+
+    /// Whether this instance sends heartbeats to all.
+    pub fn is_sender(&self) -> bool {
+        self.rank() < SENDERS || self.is_watching
+    }
+
+    /// Members that callers may be sent to.
+    pub fn usable_count(&self) -> usize {
+        self.views.iter().filter(|view| view.is_usable).count()
+    }
+
+    /// Where the datagrams for all other instances go.
+    pub fn datagram_targets(&self) -> Vec<SocketAddr> {
+        self.members.others().map(|record| record.datagram_address).collect()
+    }
+
+    /// Age of the newest confirmation by the store.
+    pub fn confirmed_age(&self, now: MonoTime) -> Duration {
+        self.confirmed_at.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// Takes note that the replica was the newest state `age` ago.
+    pub fn confirm(&mut self, now: MonoTime, as_of: StoreRevision, age: Duration) {
+        if as_of != self.replica.as_of() {
+            return;
+        }
+        let at = MonoTime(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)));
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// The heartbeat of this instance.
+    pub fn beat(&self, now: MonoTime) -> BeatMessage {
+        BeatMessage {
+            member: self.members.this().clone(),
+            is_ready: self.members.is_ready(),
+            store_lost: self.store_lost,
+            as_of: self.replica.as_of(),
+            confirmed_age: self.confirmed_age(now).into(),
+            version: self.version,
+        }
+    }
+
+    /// Whether all watchers that were heard lately say that the store fails them.
+    pub fn all_lost(&self, now: MonoTime, watchers: usize) -> bool {
+        let names: Vec<&InstanceName> =
+            self.homes.iter().take(watchers).map(|home| &home.name).collect();
+        let mut heard = self
+            .members
+            .recent_beats(now)
+            .filter(|(_, beat)| names.contains(&&beat.member.name))
+            .peekable();
+        heard.peek().is_some() && heard.all(|(_, beat)| beat.store_lost)
+    }
+
+    /// The answer to an instance whose replica goes up to a revision.
+    pub fn pull_answer(&self, now: MonoTime, after: StoreRevision) -> PullAnswer {
+        let batch = |after: StoreRevision, changes: Vec<StoreChange>| ChangeBatch {
+            after,
+            as_of: self.replica.as_of(),
+            confirmed_age: self.confirmed_age(now).into(),
+            changes,
+        };
+        match self.replica.changes_after(after) {
+            Some(changes) if after != StoreRevision(0) => {
+                PullAnswer { after: Some(after), batch: batch(after, changes) }
+            }
+            _ => {
+                PullAnswer { after: None, batch: batch(StoreRevision(0), self.replica.snapshot()) }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The plain HTTP interface to callers: an instance that takes ordinary requests, selects route and
+//! backend server, and answers where callers should connect. I/O around the pure crates `routing`,
+//! `fleet` and `balance`.
+//!
+//! All tasks run on one thread: the instances have a fifth of a core and pay for each megabyte.
+
+mod caller_port;
+mod decision_log;
+mod dialect;
+mod exchange;
+mod fleet_state;
+mod gateway;
+mod metrics;
+mod peer_port;
+mod port;
+mod prober;
+mod serve;
+mod settings_file;
+mod side_port;
+mod slots;
+mod state;
+mod stop;
+mod store_sync;
+
+pub use dialect::{HeaderDialect, WireDialect};
+pub use gateway::{GatewayParts, run_gateway};
+pub use settings_file::{GatewaySettings, read_settings};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,157 @@
+//! Counters and histograms of an instance.
+
+use model::ServiceName;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 9] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
+
+/// All metrics of an instance.
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    requests: HistogramVec,
+    exchanges: IntCounterVec,
+    refused: IntCounterVec,
+    rejected: IntCounterVec,
+    /// Time of whole exchanges with backend servers.
+    pub exchange_seconds: Histogram,
+    /// Second copies sent.
+    pub copies: IntCounter,
+    /// Health checks sent.
+    pub probes: IntCounter,
+    /// Calls to the store.
+    pub store_calls: IntCounterVec,
+    /// Version of the configuration in force.
+    pub version: IntGauge,
+    /// Age of the newest confirmation by the store, in milliseconds.
+    pub confirmed_age_ms: IntGauge,
+    /// Members that are usable.
+    pub members: IntGauge,
+    /// Backend servers that are known.
+    pub servers: IntGauge,
+    /// Requests that wait for a slot.
+    pub waiting: IntGauge,
+    /// Connections of callers.
+    pub connections: IntGauge,
+    /// Log lines that were left out.
+    pub log_dropped: IntGauge,
+}
+
+fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: M) -> M {
+    registry.register(Box::new(metric.clone())).expect("each metric is registered once");
+    metric
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels);
+    register(registry, metric.expect("names of metrics are valid"))
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    register(registry, IntCounter::new(name, help).expect("names of metrics are valid"))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(name, help).expect("names of metrics are valid"))
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let latency = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
+        };
+        let requests = HistogramVec::new(
+            latency("lacewing_request_seconds", "Time from a request's head to its answer"),
+            &["service", "priority", "status"],
+        );
+        let exchange = Histogram::with_opts(latency(
+            "lacewing_exchange_seconds",
+            "Time of whole exchanges with backend servers",
+        ));
+        Self {
+            requests: register(&registry, requests.expect("names of metrics are valid")),
+            exchanges: counters(
+                &registry,
+                "lacewing_exchanges_total",
+                "Exchanges with backend servers by outcome",
+                &["outcome"],
+            ),
+            refused: counters(
+                &registry,
+                "lacewing_refused_total",
+                "Requests turned away without being sent, by cause",
+                &["cause"],
+            ),
+            rejected: counters(
+                &registry,
+                "lacewing_rejected_total",
+                "Requests that could not be accepted, by status",
+                &["status"],
+            ),
+            exchange_seconds: register(&registry, exchange.expect("names of metrics are valid")),
+            copies: counter(&registry, "lacewing_copies_total", "Second copies of slow requests"),
+            probes: counter(&registry, "lacewing_probes_total", "Health checks sent"),
+            store_calls: counters(
+                &registry,
+                "lacewing_store_calls_total",
+                "Calls to the platform's store by kind and outcome",
+                &["kind", "outcome"],
+            ),
+            version: gauge(&registry, "lacewing_config_version", "Configuration in force"),
+            confirmed_age_ms: gauge(
+                &registry,
+                "lacewing_confirmed_age_milliseconds",
+                "Age of the newest confirmation by the store",
+            ),
+            members: gauge(&registry, "lacewing_members", "Usable instances"),
+            servers: gauge(&registry, "lacewing_servers", "Known backend servers"),
+            waiting: gauge(&registry, "lacewing_waiting", "Requests that wait for a slot"),
+            connections: gauge(&registry, "lacewing_connections", "Connections of callers"),
+            log_dropped: gauge(&registry, "lacewing_log_dropped", "Log lines left out"),
+            registry,
+        }
+    }
+}
+
+impl GatewayMetrics {
+    /// Counts a request that was accepted.
+    pub fn request(&self, service: &ServiceName, priority: u8, status: u16, span: Duration) {
+        let (priority, status) = (priority.to_string(), status.to_string());
+        let labels = [service.as_str(), priority.as_str(), status.as_str()];
+        self.requests.with_label_values(&labels).observe(span.as_secs_f64());
+    }
+
+    /// Counts an exchange.
+    pub fn exchange(&self, outcome: &str) {
+        self.exchanges.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a request that was turned away.
+    pub fn refused(&self, cause: &str) {
+        self.refused.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts a request that was not accepted.
+    pub fn rejected(&self, status: u16) {
+        self.rejected.with_label_values(&[&status.to_string()]).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &str, ok: bool) {
+        self.store_calls.with_label_values(&[kind, if ok { "ok" } else { "failed" }]).inc();
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(cause) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            text = format!("# {cause}\n").into_bytes();
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_port.rs
@@ -0,0 +1,168 @@
+//! Talks to other instances: datagrams for heartbeats and changes, HTTP for what was missed.
+
+use crate::serve::{CallerAnswer, own_answer};
+use crate::state::GatewayState;
+use crate::store_sync::{refresh_fleet, take_batch};
+use anyhow::{Context, anyhow};
+use bytes::Bytes;
+use fleet::{ChangeBatch, DATAGRAM_MAX_BYTES, PeerDatagram, PullAnswer, StoreChange};
+use http::{Request, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use link::ConnectionChoice;
+use model::{Millis, StoreRevision};
+use smol_str::format_smolstr;
+use std::cell::OnceCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+
+/// Time between heartbeats.
+const BEAT_SPAN: Duration = Duration::from_millis(300);
+/// How long another instance may take to answer.
+const PULL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Path on which an instance tells what changed after a revision.
+const CHANGES_PATH: &str = "/v1/changes/";
+
+thread_local! {
+    static SOCKET: OnceCell<Rc<UdpSocket>> = const { OnceCell::new() };
+}
+
+/// Opens the socket for datagrams.
+pub(crate) fn open_socket(address: SocketAddr) -> anyhow::Result<Rc<UdpSocket>> {
+    let socket = std::net::UdpSocket::bind(address).context("datagram socket")?;
+    socket.set_nonblocking(true)?;
+    let socket = Rc::new(UdpSocket::from_std(socket)?);
+    SOCKET.with(|cell| cell.set(Rc::clone(&socket))).map_err(|_| anyhow!("opened twice"))?;
+    Ok(socket)
+}
+
+fn send_to_all(state: &GatewayState, datagram: &PeerDatagram) {
+    let Ok(bytes) = postcard::to_stdvec(datagram) else {
+        state.log.state("datagram_unsendable", "");
+        return;
+    };
+    SOCKET.with(|cell| {
+        let Some(socket) = cell.get() else {
+            return;
+        };
+        for target in state.fleet_ref().datagram_targets() {
+            // Datagrams may be lost anyway; the next heartbeat tells the same.
+            let _ = socket.try_send_to(&bytes, target);
+        }
+    });
+}
+
+/// Passes changes on as they are seen. Long ones are only announced; the others fetch them.
+pub(crate) fn send_changes(
+    state: &GatewayState,
+    after: StoreRevision,
+    as_of: StoreRevision,
+    changes: Vec<StoreChange>,
+) {
+    let size: usize = changes
+        .iter()
+        .map(|change| change.key.len() + change.value.as_ref().map_or(0, |value| value.len()) + 16)
+        .sum();
+    if size + 64 > DATAGRAM_MAX_BYTES {
+        send_beat(state);
+        return;
+    }
+    let batch = ChangeBatch { after, as_of, confirmed_age: Millis(0), changes };
+    send_to_all(state, &PeerDatagram::Changes(batch));
+}
+
+fn send_beat(state: &GatewayState) {
+    let beat = state.fleet_ref().beat(state.now());
+    send_to_all(state, &PeerDatagram::Beat(beat));
+}
+
+/// Sends heartbeats.
+pub(crate) async fn run_beats(state: Rc<GatewayState>) {
+    loop {
+        let was_woken = tokio::time::timeout(BEAT_SPAN, state.beat.notified()).await.is_ok();
+        refresh_fleet(&state);
+        let is_sender = state.fleet_ref().is_sender();
+        if was_woken || is_sender {
+            send_beat(&state);
+        }
+        state.log.flush();
+    }
+}
+
+/// Takes datagrams of other instances.
+pub(crate) async fn run_datagrams(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * DATAGRAM_MAX_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => take_datagram(&state, &buffer[..length], from),
+            Err(cause) => {
+                state.log.state("datagram_failed", &format_smolstr!("{cause}"));
+                tokio::time::sleep(BEAT_SPAN).await;
+            }
+        }
+    }
+}
+
+fn take_datagram(state: &Rc<GatewayState>, bytes: &[u8], from: SocketAddr) {
+    match postcard::from_bytes(bytes) {
+        Ok(PeerDatagram::Beat(beat)) => {
+            let now = state.now();
+            let (as_of, age) = (beat.as_of, beat.confirmed_age.span());
+            let mut fleet = state.fleet();
+            let is_new = fleet.members.record_beat(now, beat);
+            fleet.confirm(now, as_of, age);
+            let is_behind = as_of > fleet.replica.as_of();
+            drop(fleet);
+            if is_new {
+                refresh_fleet(state);
+            }
+            if is_behind {
+                state.sync.notify_one();
+            }
+        }
+        Ok(PeerDatagram::Changes(batch)) => {
+            if take_batch(state, batch) {
+                state.sync.notify_one();
+            }
+        }
+        Err(cause) => {
+            state.log.state("datagram_malformed", &format_smolstr!("{from}: {cause}"));
+        }
+    }
+}
+
+/// Asks another instance for the changes after a revision.
+pub(crate) async fn pull_changes(
+    state: &GatewayState,
+    from: SocketAddr,
+    after: StoreRevision,
+) -> anyhow::Result<PullAnswer> {
+    let request = Request::get(format!("{CHANGES_PATH}{after}"))
+        .header(header::HOST, "peer")
+        .body(Full::default())?;
+    let deadline = Instant::now() + PULL_TIMEOUT;
+    let answer =
+        state.peer_pool.exchange(from, request, ConnectionChoice::Pooled, deadline).await?;
+    if answer.status() != StatusCode::OK {
+        return Err(anyhow!("status {}", answer.status()));
+    }
+    Ok(postcard::from_bytes(answer.body())?)
+}
+
+/// Answers other instances.
+pub(crate) async fn answer_peer(
+    state: Rc<GatewayState>,
+    request: Request<Incoming>,
+) -> CallerAnswer {
+    let after = request.uri().path().strip_prefix(CHANGES_PATH).and_then(|text| text.parse().ok());
+    let Some(after) = after else {
+        return own_answer(StatusCode::NOT_FOUND, "no such path", None);
+    };
+    let answer = state.fleet_ref().pull_answer(state.now(), after);
+    match postcard::to_stdvec(&answer) {
+        Ok(bytes) => http::Response::new(Full::new(Bytes::from(bytes))),
+        Err(cause) => own_answer(StatusCode::INTERNAL_SERVER_ERROR, &cause.to_string(), None),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,362 @@
+//! Serves one request of a caller: its attempts, a second copy beside a slow one, and the answer.
+
+use crate::decision_log::{AttemptLine, RequestLine};
+use crate::exchange::{ExchangeEnd, OutboundCall, end_to_end, run_exchange};
+use crate::slots::{SlotHold, take_slot};
+use crate::state::GatewayState;
+use balance::{RequestSpec, ServerKey, TurnAway};
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use model::{Millis, MonoTime, ServiceName};
+use routing::{RepeatKind, RouteEntry};
+use smol_str::{SmolStr, format_smolstr};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Part of the retry budget that second copies leave for requests that failed.
+const COPY_RESERVE: f64 = 0.4;
+/// A copy is considered when an exchange takes this many times longer than expected.
+const COPY_FACTOR: f64 = 1.5;
+/// Shortest time after which a copy is considered.
+const COPY_MIN: Duration = Duration::from_millis(40);
+/// Time between looks at an exchange that takes long.
+const COPY_TICK: Duration = Duration::from_millis(40);
+/// Tries that end before the request reached a server, for one attempt of a caller.
+const UNREACHED_MAX: u32 = 4;
+/// When a caller may come back to an instance that has no configuration.
+const NO_CONFIG_RETRY: Millis = Millis(300);
+
+/// The answer that is sent to the caller.
+pub(crate) type CallerAnswer = Response<Full<Bytes>>;
+
+/// A request after its route was found.
+pub(crate) struct RoutedCall {
+    pub call: OutboundCall,
+    pub route: Rc<RouteEntry>,
+    pub service: ServiceName,
+    pub arrived: MonoTime,
+}
+
+/// What is known of the attempts so far.
+#[derive(Default)]
+struct AttemptLedger {
+    tried: Vec<ServerKey>,
+    /// Servers that the request reached.
+    arrivals: u32,
+    unreached: u32,
+    may_have_run: bool,
+    timed_out: bool,
+    failure: Option<Response<Bytes>>,
+    cause: SmolStr,
+    copies: u32,
+    waited: Duration,
+}
+
+struct FlightEnd {
+    end: ExchangeEnd,
+    key: ServerKey,
+    line: AttemptLine,
+}
+
+type Flights = FuturesUnordered<LocalBoxFuture<'static, FlightEnd>>;
+
+/// An answer of this instance's own.
+pub(crate) fn own_answer(status: StatusCode, text: &str, retry: Option<Millis>) -> CallerAnswer {
+    let body = Bytes::from(format!("{text}\n"));
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    answer
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    if let Some(retry) = retry {
+        let seconds = format!("{:.3}", retry.span().as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            answer.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    answer
+}
+
+/// The refusal of an instance that knows no configuration yet.
+pub(crate) fn no_config_answer() -> CallerAnswer {
+    own_answer(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", Some(NO_CONFIG_RETRY))
+}
+
+/// Serves a request.
+pub(crate) async fn serve_routed(state: &Rc<GatewayState>, routed: RoutedCall) -> CallerAnswer {
+    let now = state.now();
+    state.queue().budget(&routed.service).record_request(now);
+    let mut ledger = AttemptLedger::default();
+    let routed = Rc::new(routed);
+    let answer = run_attempts(state, &routed, &mut ledger).await;
+    log_request(state, &routed, &ledger, &answer);
+    answer
+}
+
+fn log_request(
+    state: &GatewayState,
+    routed: &RoutedCall,
+    ledger: &AttemptLedger,
+    answer: &CallerAnswer,
+) {
+    let span = state.now().since(routed.arrived);
+    let status = answer.status().as_u16();
+    state.metrics.request(&routed.service, routed.route.priority, status, span);
+    state.log.request(&RequestLine {
+        request: routed.call.request_id.to_str().unwrap_or("-"),
+        route: &routed.route.name,
+        service: routed.service.as_str(),
+        status,
+        cause: &ledger.cause,
+        arrivals: ledger.arrivals,
+        copies: ledger.copies,
+        waited: ledger.waited,
+        span,
+        left: routed.call.deadline.since(state.now()),
+    });
+}
+
+async fn run_attempts(
+    state: &Rc<GatewayState>,
+    routed: &Rc<RoutedCall>,
+    ledger: &mut AttemptLedger,
+) -> CallerAnswer {
+    loop {
+        let asked = state.now();
+        let hold = match take_slot(state, request_spec(routed, &ledger.tried)).await {
+            Ok(hold) => hold,
+            Err(turned) => return turned_away(state, ledger, turned),
+        };
+        ledger.waited += state.now().since(asked);
+        match run_flights(state, routed, ledger, hold).await {
+            Some(answer) => return answer,
+            None if may_try_again(state, routed, ledger) => {}
+            None => return failure_answer(ledger),
+        }
+    }
+}
+
+fn request_spec(routed: &RoutedCall, tried: &[ServerKey]) -> RequestSpec {
+    RequestSpec {
+        service: routed.service.clone(),
+        route: routed.route.name.clone(),
+        priority: routed.route.priority,
+        arrived: routed.arrived,
+        deadline: routed.call.deadline,
+        avoid: tried.to_vec(),
+    }
+}
+
+fn launch(
+    state: &Rc<GatewayState>,
+    routed: &Rc<RoutedCall>,
+    hold: SlotHold,
+) -> LocalBoxFuture<'static, FlightEnd> {
+    let (state, routed) = (Rc::clone(state), Rc::clone(routed));
+    async move {
+        let placement = hold.placement().clone();
+        let sent = state.now();
+        let end = run_exchange(&state, &routed.call, hold).await;
+        let line = AttemptLine {
+            server: SmolStr::new(placement.key.name.as_str()),
+            occupancy: placement.occupancy,
+            pace: placement.pace,
+            report_age: placement.report_age,
+            expected: placement.expected,
+            span: state.now().since(sent),
+        };
+        FlightEnd { end, key: placement.key, line }
+    }
+    .boxed_local()
+}
+
+/// Runs one attempt, with a copy beside it if it takes long. Gives the answer, or none if another
+/// attempt is needed.
+async fn run_flights(
+    state: &Rc<GatewayState>,
+    routed: &Rc<RoutedCall>,
+    ledger: &mut AttemptLedger,
+    hold: SlotHold,
+) -> Option<CallerAnswer> {
+    let flights: Flights = FuturesUnordered::new();
+    let mut flights = flights;
+    let expected = hold.placement().expected.mul_f64(COPY_FACTOR).max(COPY_MIN);
+    let mut next_look = state.now().after(expected);
+    let mut can_copy = routed.route.repeat == RepeatKind::Idempotent;
+    ledger.tried.push(hold.placement().key.clone());
+    ledger.arrivals += 1;
+    flights.push(launch(state, routed, hold));
+    loop {
+        let look = tokio::time::sleep_until(state.clock.instant_of(next_look).into());
+        tokio::select! {
+            biased;
+            ended = flights.next() => {
+                let ended = ended?;
+                if let Some(answer) = settle(state, routed, ledger, ended) {
+                    return Some(answer);
+                }
+                if flights.is_empty() {
+                    return None;
+                }
+            }
+            () = look, if can_copy && flights.len() == 1 => {
+                next_look = state.now().after(COPY_TICK);
+                match second_copy(state, routed, ledger) {
+                    CopyChoice::Send(hold) => {
+                        ledger.tried.push(hold.placement().key.clone());
+                        ledger.arrivals += 1;
+                        ledger.copies += 1;
+                        flights.push(launch(state, routed, hold));
+                    }
+                    CopyChoice::Later => {}
+                    CopyChoice::Never => can_copy = false,
+                }
+            }
+        }
+    }
+}
+
+enum CopyChoice {
+    Send(SlotHold),
+    Later,
+    Never,
+}
+
+/// Sends a second copy of work that may repeat if a server is free that will probably be in time.
+fn second_copy(
+    state: &Rc<GatewayState>,
+    routed: &RoutedCall,
+    ledger: &AttemptLedger,
+) -> CopyChoice {
+    if ledger.arrivals >= routed.route.attempts {
+        return CopyChoice::Never;
+    }
+    let now = state.now();
+    let left = routed.call.deadline.since(now);
+    let mut queue = state.queue();
+    if !queue.budget(&routed.service).allows(now, COPY_RESERVE) {
+        return CopyChoice::Later;
+    }
+    let spec = request_spec(routed, &ledger.tried);
+    let Some((place, placement)) = queue.spare(now, &spec, left) else {
+        return CopyChoice::Later;
+    };
+    queue.budget(&routed.service).take_repeat(now, 0.0);
+    drop(queue);
+    state.metrics.copies.inc();
+    CopyChoice::Send(SlotHold::new(state, place, placement))
+}
+
+/// Takes over the end of one exchange. Gives the answer if it is final.
+fn settle(
+    state: &Rc<GatewayState>,
+    routed: &RoutedCall,
+    ledger: &mut AttemptLedger,
+    ended: FlightEnd,
+) -> Option<CallerAnswer> {
+    let is_failure =
+        !matches!(&ended.end, ExchangeEnd::Answered(answer) if !answer.status().is_server_error());
+    if is_failure {
+        let request = routed.call.request_id.to_str().unwrap_or("-");
+        state.log.attempt(request, &ended.line, &describe(&ended.end));
+    }
+    match ended.end {
+        ExchangeEnd::Answered(answer) => {
+            let retries_failure =
+                answer.status().is_server_error() && routed.route.repeat == RepeatKind::Idempotent;
+            if !retries_failure {
+                return Some(passed_answer(state, answer));
+            }
+            ledger.cause = format_smolstr!("status {}", answer.status().as_u16());
+            ledger.may_have_run = true;
+            ledger.failure = Some(answer);
+        }
+        ExchangeEnd::NotRun { cause, arrived } => {
+            if !arrived {
+                ledger.arrivals -= 1;
+                ledger.unreached += 1;
+            }
+            ledger.cause = cause;
+        }
+        ExchangeEnd::Unknown(cause) => {
+            ledger.may_have_run = true;
+            ledger.cause = format_smolstr!("{cause} at {}", ended.key.name);
+        }
+        ExchangeEnd::TimedOut => {
+            ledger.may_have_run = true;
+            ledger.timed_out = true;
+            ledger.cause = format_smolstr!("no answer in time from {}", ended.key.name);
+        }
+    }
+    None
+}
+
+fn describe(end: &ExchangeEnd) -> SmolStr {
+    match end {
+        ExchangeEnd::Answered(answer) => format_smolstr!("status {}", answer.status().as_u16()),
+        ExchangeEnd::NotRun { cause, .. } => format_smolstr!("not run: {cause}"),
+        ExchangeEnd::Unknown(cause) => format_smolstr!("may have run: {cause}"),
+        ExchangeEnd::TimedOut => "may have run: no answer in time".into(),
+    }
+}
+
+/// Whether the request may be sent once more.
+fn may_try_again(state: &GatewayState, routed: &RoutedCall, ledger: &mut AttemptLedger) -> bool {
+    let must_not_repeat = routed.route.repeat == RepeatKind::Once && ledger.may_have_run;
+    if must_not_repeat || ledger.timed_out || ledger.unreached >= UNREACHED_MAX {
+        return false;
+    }
+    if ledger.arrivals >= routed.route.attempts {
+        return false;
+    }
+    // A request that reached no server yet is not counted as repeated.
+    let now = state.now();
+    let is_allowed =
+        ledger.arrivals == 0 || state.queue().budget(&routed.service).take_repeat(now, 0.0);
+    if !is_allowed {
+        ledger.cause = format_smolstr!("{}; retry budget used up", ledger.cause);
+    }
+    is_allowed
+}
+
+/// The answer after the last attempt failed.
+fn failure_answer(ledger: &mut AttemptLedger) -> CallerAnswer {
+    if let Some(failure) = ledger.failure.take() {
+        return response_of(failure);
+    }
+    if ledger.timed_out {
+        return own_answer(StatusCode::GATEWAY_TIMEOUT, &ledger.cause, None);
+    }
+    if ledger.may_have_run {
+        return own_answer(StatusCode::BAD_GATEWAY, &ledger.cause, None);
+    }
+    own_answer(StatusCode::SERVICE_UNAVAILABLE, &ledger.cause, Some(Millis(100)))
+}
+
+/// Only a request that no server may have run is refused as not run.
+fn turned_away(state: &GatewayState, ledger: &mut AttemptLedger, turned: TurnAway) -> CallerAnswer {
+    state.metrics.refused(turned.cause.as_str());
+    if ledger.may_have_run {
+        return failure_answer(ledger);
+    }
+    ledger.cause = SmolStr::new_static(turned.cause.as_str());
+    own_answer(StatusCode::SERVICE_UNAVAILABLE, turned.cause.as_str(), Some(turned.retry_after))
+}
+
+fn passed_answer(state: &GatewayState, answer: Response<Bytes>) -> CallerAnswer {
+    let mut answer = response_of(answer);
+    answer.headers_mut().remove(&state.dialect.headers().load);
+    answer
+}
+
+fn response_of(answer: Response<Bytes>) -> CallerAnswer {
+    let (parts, body) = answer.into_parts();
+    let mut passed = Response::new(Full::new(body));
+    *passed.status_mut() = parts.status;
+    *passed.headers_mut() = end_to_end(&parts.headers);
+    passed
+}
--- /dev/null
+++ b/crates/gateway/src/settings_file.rs
@@ -0,0 +1,112 @@
+//! Settings of a gateway, from INI. All errors are told at once.
+
+use balance::BudgetPolicy;
+use fleet::HomePolicy;
+use model::{DataCentre, InstanceName, Millis};
+use settings::{SettingsErrors, SettingsReader};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings of one instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// Its name.
+    pub name: InstanceName,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready_address: SocketAddr,
+    /// Where callers ask for addresses.
+    pub directory_address: SocketAddr,
+    /// Where other instances connect.
+    pub peer_address: SocketAddr,
+    /// Where other instances send datagrams.
+    pub datagram_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Peer addresses of other instances, possibly out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// What it can carry, in thousandths of a core.
+    pub capacity: u32,
+    /// Most open files and connections.
+    pub descriptors: usize,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// How long callers may keep an answer of the directory.
+    pub directory_keep: Millis,
+    /// Time between the request to stop and the end of the process.
+    pub stop_span: Millis,
+    /// Health checks a second for each backend server, over all instances together.
+    pub probes_per_s: f64,
+    /// The retry budget.
+    pub budget: BudgetPolicy,
+    /// How many homes there are.
+    pub homes: HomePolicy,
+    /// Log lines a second.
+    pub log_lines_per_s: u32,
+}
+
+/// Reads settings.
+///
+/// # Errors
+/// Everything that is wrong with the text.
+pub fn read_settings(file: &str, text: &str) -> Result<GatewaySettings, SettingsErrors> {
+    let mut reader = SettingsReader::new(file, text)?;
+    let address = "an address like 10.0.0.1:8080";
+    let name = reader.required("instance", "name", "a name");
+    let data_centre = reader.required("instance", "data_centre", "a name");
+    let capacity = reader.with_default("instance", "cores", "a number of cores", 1.0_f64);
+    let descriptors = reader.with_default("instance", "descriptors", "a number", 4_096);
+    let memory_mb = reader.with_default("instance", "memory_mb", "megabytes", 256);
+    let caller_address = reader.required("listen", "callers", address);
+    let ready_address = reader.required("listen", "ready", address);
+    let directory_address = reader.required("listen", "directory", address);
+    let peer_address = reader.required("listen", "peers", address);
+    let datagram_address = reader.required("listen", "datagrams", address);
+    let metrics_address = reader.required("listen", "metrics", address);
+    let store_address = reader.required("store", "address", address);
+    let seeds = reader.list("peers", "seeds", address);
+    let homes_min = reader.with_default("homes", "count", "a number", 2_usize);
+    let servers_per_home = reader.with_default("homes", "servers", "a number", 40_usize);
+    let keep_s = reader.with_default("directory", "keep_s", "seconds", 1.5_f64);
+    let keep_max_s = reader.with_default("directory", "keep_max_s", "seconds", 5.0_f64);
+    let stop_s = reader.with_default("stop", "grace_s", "seconds", 6.0_f64);
+    let probes_per_s = reader.with_default("probes", "per_s", "a rate", 0.0_f64);
+    let ratio = reader.with_default("retries", "ratio", "a ratio", 0.1_f64);
+    let extra = reader.with_default("retries", "extra", "a number", 0.0_f64);
+    let window_s = reader.with_default("retries", "window_s", "seconds", 10.0_f64);
+    let log_lines_per_s = reader.with_default("log", "lines_per_s", "a number", 200);
+    let built = (|| {
+        Some(GatewaySettings {
+            name: name?,
+            data_centre: data_centre?,
+            caller_address: caller_address?,
+            ready_address: ready_address?,
+            directory_address: directory_address?,
+            peer_address: peer_address?,
+            datagram_address: datagram_address?,
+            metrics_address: metrics_address?,
+            store_address: store_address?,
+            seeds,
+            capacity: (capacity * 1000.0) as u32,
+            descriptors,
+            memory_mb,
+            directory_keep: seconds(keep_s.min(keep_max_s)),
+            stop_span: seconds(stop_s),
+            probes_per_s,
+            budget: BudgetPolicy { ratio, extra, window: seconds(window_s).span() },
+            homes: HomePolicy { homes_min, servers_per_home },
+            log_lines_per_s,
+        })
+    })();
+    reader.close()?;
+    built.ok_or_else(|| SettingsErrors(Vec::new()))
+}
+
+fn seconds(value: f64) -> Millis {
+    Duration::try_from_secs_f64(value).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/gateway/src/slots.rs
@@ -0,0 +1,144 @@
+//! Waiting for a slot of a backend server, and giving it back.
+
+use crate::state::GatewayState;
+use balance::{
+    ExchangeOutcome, Placement, QueueDecision, RequestPlace, RequestSpec, TurnAway, TurnAwayCause,
+};
+use model::Millis;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between looks at the queue while requests wait. Slots also come free between.
+const QUEUE_TICK: Duration = Duration::from_millis(10);
+
+/// A slot of a backend server. [`close`](Self::close) frees it with what was learned; dropping it
+/// frees it as abandoned.
+pub(crate) struct SlotHold {
+    state: Rc<GatewayState>,
+    place: RequestPlace,
+    placement: Placement,
+    is_open: bool,
+}
+
+impl SlotHold {
+    pub fn new(state: &Rc<GatewayState>, place: RequestPlace, placement: Placement) -> Self {
+        Self { state: Rc::clone(state), place, placement, is_open: true }
+    }
+
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    /// Frees the slot. Gives the span of the exchange.
+    pub fn close(mut self, outcome: ExchangeOutcome) -> Option<Duration> {
+        self.release(outcome)
+    }
+
+    fn release(&mut self, outcome: ExchangeOutcome) -> Option<Duration> {
+        self.is_open = false;
+        let now = self.state.now();
+        let span = self.state.queue().finish(now, self.place, &self.placement.key, outcome);
+        advance_queue(&self.state);
+        span
+    }
+}
+
+impl Drop for SlotHold {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.release(ExchangeOutcome::Abandoned);
+        }
+    }
+}
+
+/// A place in the queue, given up when the caller goes away.
+struct QueueWaiter {
+    state: Rc<GatewayState>,
+    place: RequestPlace,
+    receiver: oneshot::Receiver<QueueDecision>,
+    is_decided: bool,
+}
+
+impl Drop for QueueWaiter {
+    fn drop(&mut self) {
+        if self.is_decided {
+            return;
+        }
+        self.state.waiters.borrow_mut().remove(&self.place);
+        match self.receiver.try_recv() {
+            Ok(QueueDecision::Send(placement)) => {
+                drop(SlotHold::new(&self.state, self.place, placement));
+            }
+            Ok(QueueDecision::TurnAway(_)) => {}
+            Err(_) => self.state.queue().cancel(self.place),
+        }
+    }
+}
+
+/// Waits for a slot.
+///
+/// # Errors
+/// Why the request was turned away; it did not run.
+pub(crate) async fn take_slot(
+    state: &Rc<GatewayState>,
+    spec: RequestSpec,
+) -> Result<SlotHold, TurnAway> {
+    let (place, decision) = state.queue().arrive(state.now(), spec);
+    let decision = match decision {
+        Some(decision) => decision,
+        None => {
+            let (sender, receiver) = oneshot::channel();
+            state.waiters.borrow_mut().insert(place, sender);
+            state.waiting.notify_one();
+            let mut waiter =
+                QueueWaiter { state: Rc::clone(state), place, receiver, is_decided: false };
+            let decision = (&mut waiter.receiver).await;
+            waiter.is_decided = true;
+            decision.unwrap_or(QueueDecision::TurnAway(TurnAway {
+                cause: TurnAwayCause::NoServer,
+                retry_after: Millis(100),
+            }))
+        }
+    };
+    match decision {
+        QueueDecision::Send(placement) => Ok(SlotHold::new(state, place, placement)),
+        QueueDecision::TurnAway(turned) => Err(turned),
+    }
+}
+
+/// Decides for waiting requests.
+pub(crate) fn advance_queue(state: &Rc<GatewayState>) {
+    loop {
+        let decided = state.queue().advance(state.now());
+        let mut abandoned = Vec::new();
+        for (place, decision) in decided {
+            let waiter = state.waiters.borrow_mut().remove(&place);
+            let unsent = match waiter {
+                Some(waiter) => waiter.send(decision).err(),
+                None => Some(decision),
+            };
+            if let Some(QueueDecision::Send(placement)) = unsent {
+                abandoned.push((place, placement));
+            }
+        }
+        if abandoned.is_empty() {
+            return;
+        }
+        for (place, placement) in abandoned {
+            let now = state.now();
+            state.queue().finish(now, place, &placement.key, ExchangeOutcome::Abandoned);
+        }
+    }
+}
+
+/// Looks at the queue while requests wait.
+pub(crate) async fn run_queue(state: Rc<GatewayState>) {
+    loop {
+        if state.queue().waiting() == 0 {
+            state.waiting.notified().await;
+        }
+        tokio::time::sleep(QUEUE_TICK).await;
+        advance_queue(&state);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,90 @@
+//! The planned stop, and changes of the settings file.
+
+use crate::settings_file::read_settings;
+use crate::state::{GatewayState, RunPhase};
+use crate::store_sync::refresh_fleet;
+use smol_str::format_smolstr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Time before the end at which connections are closed.
+const CLOSE_MARGIN: Duration = Duration::from_millis(900);
+/// Time before the end at which the process leaves.
+const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Shortest time in which callers may still come with addresses that they kept.
+const KEPT_FACTOR: u32 = 3;
+/// Time between looks at whether connections are left.
+const DRAIN_TICK: Duration = Duration::from_millis(50);
+/// Time between looks at the settings file.
+const FILE_TICK: Duration = Duration::from_millis(500);
+
+/// Waits for the request to stop, and returns when the process may end.
+pub(crate) async fn run_stop(state: Rc<GatewayState>) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let started = tokio::time::Instant::now();
+    state.phase.set(RunPhase::Stopping);
+    state.log.state("stopping", &format_smolstr!("{} connections", state.connections.get()));
+    refresh_fleet(&state);
+    state.beat.notify_one();
+    let grace = state.settings().stop_span.span();
+    let close_at = started + grace.saturating_sub(CLOSE_MARGIN);
+    let kept_until = started + state.settings().directory_keep.span() * KEPT_FACTOR;
+    loop {
+        let now = tokio::time::Instant::now();
+        let is_empty = state.connections.get() == 0 && now >= kept_until;
+        if now >= close_at || is_empty {
+            break;
+        }
+        tokio::time::sleep(DRAIN_TICK).await;
+    }
+    state.closing.send_replace(true);
+    let exit_at = started + grace.saturating_sub(EXIT_MARGIN);
+    while state.connections.get() > 0 && tokio::time::Instant::now() < exit_at {
+        tokio::time::sleep(DRAIN_TICK).await;
+    }
+    state.log.state("stopped", &format_smolstr!("{} connections left", state.connections.get()));
+    state.log.flush();
+    Ok(())
+}
+
+/// Takes over changes of the settings file, with a signal or without.
+pub(crate) async fn run_reload(state: Rc<GatewayState>, file: PathBuf) -> anyhow::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut known = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        let was_told = wait_change(&mut hangup).await;
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(cause) => {
+                state.log.state("settings_unreadable", &format_smolstr!("{cause}"));
+                continue;
+            }
+        };
+        if text == known {
+            if was_told {
+                state.log.state("reload", "no change");
+            }
+            continue;
+        }
+        known = text;
+        match read_settings(&file.to_string_lossy(), &known) {
+            Ok(settings) => {
+                state.log.state("reload", "settings changed");
+                state.settings.replace(Rc::new(settings));
+                refresh_fleet(&state);
+            }
+            Err(errors) => state.log.state("settings_invalid", &format_smolstr!("{errors}")),
+        }
+    }
+}
+
+async fn wait_change(hangup: &mut Signal) -> bool {
+    tokio::time::timeout(FILE_TICK, hangup.recv()).await.is_ok()
+}
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::error::LinkError;
 use bytes::Bytes;
-use http::{Request, Response, header};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -21,10 +21,14 @@
     /// Only a connection that carried an answer within [`RECENT_SPAN`], else a new one. For
     /// requests that must not repeat: an older one may have gone silent.
     Recent,
+    /// Only a new connection. For requests that must not repeat to a server that sent stray bytes.
+    Fresh,
 }
 
 /// How long after an answer a connection counts as recently used.
 pub const RECENT_SPAN: Duration = Duration::from_secs(1);
+/// How long before the other end's own limit an idle connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Builds a [`LinkPool`].
 #[derive(Debug, Clone)]
@@ -33,6 +37,7 @@
     idle_span: Duration,
     answer_limit: usize,
     connection_limit: usize,
+    accepts_unframed: bool,
 }
 
 impl Default for LinkPoolBuilder {
@@ -42,6 +47,7 @@
             idle_span: Duration::from_secs(10),
             answer_limit: 4 * 1024 * 1024,
             connection_limit: 240,
+            accepts_unframed: false,
         }
     }
 }
@@ -71,6 +77,13 @@
         self
     }
 
+    /// Sets whether an answer without length that ends with its connection counts as whole. A reset
+    /// still counts as broken.
+    pub fn accepts_unframed(mut self, accepts: bool) -> Self {
+        self.accepts_unframed = accepts;
+        self
+    }
+
     /// Finishes the pool.
     pub fn build(self) -> LinkPool {
         LinkPool { settings: self, addresses: Arc::default() }
@@ -80,6 +93,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     last_answer: Instant,
+    idle_span: Duration,
 }
 
 #[derive(Default)]
@@ -168,7 +182,7 @@
         let (parts, body) = response.into_parts();
         let framed = body.size_hint().exact().is_some()
             || parts.headers.contains_key(header::TRANSFER_ENCODING);
-        if !framed {
+        if !framed && !self.settings.accepts_unframed {
             return Err(LinkError::AnswerUnframed);
         }
         let limited = Limited::new(body, self.settings.answer_limit).collect();
@@ -180,7 +194,10 @@
             Ok(Err(cause)) => return Err(body_error(cause)),
             Ok(Ok(collected)) => collected.to_bytes(),
         };
-        self.keep_idle(address, sender, started);
+        if framed {
+            let idle_span = self.idle_span_of(&parts.headers);
+            self.keep_idle(address, sender, started, idle_span);
+        }
         Ok(Response::from_parts(parts, body))
     }
 
@@ -192,13 +209,14 @@
         let span = match choice {
             ConnectionChoice::Pooled => self.settings.idle_span,
             ConnectionChoice::Recent => RECENT_SPAN.min(self.settings.idle_span),
+            ConnectionChoice::Fresh => return None,
         };
         let mut addresses = lock(&self.addresses);
         let pool = addresses.get_mut(&address)?;
         let suspect_before = pool.suspect_before;
         pool.idle.retain(|idle| {
             !idle.sender.is_closed()
-                && idle.last_answer.elapsed() < self.settings.idle_span
+                && idle.last_answer.elapsed() < idle.idle_span
                 && suspect_before.is_none_or(|at| idle.last_answer > at)
         });
         let is_usable =
@@ -207,14 +225,31 @@
         Some(pool.idle.remove(newest).sender)
     }
 
-    fn keep_idle(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>, started: Instant) {
+    /// How long the other end keeps an idle connection, less a margin for what is on its way.
+    fn idle_span_of(&self, headers: &HeaderMap) -> Duration {
+        let told = headers
+            .get("keep-alive")
+            .and_then(|value| value.to_str().ok())
+            .and_then(|text| text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+            .and_then(|seconds| seconds.trim().parse().ok())
+            .map(|seconds| Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN));
+        told.map_or(self.settings.idle_span, |span| span.min(self.settings.idle_span))
+    }
+
+    fn keep_idle(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        started: Instant,
+        idle_span: Duration,
+    ) {
         let mut addresses = lock(&self.addresses);
         let pool = addresses.entry(address).or_default();
         let suspected = pool.suspect_before.is_some_and(|at| started < at);
         if sender.is_closed() || suspected {
             return;
         }
-        pool.idle.push(IdleConnection { sender, last_answer: Instant::now() });
+        pool.idle.push(IdleConnection { sender, last_answer: Instant::now(), idle_span });
     }
 
     /// Stops reuse of the connections whose last answer came before `started`, since one that
@@ -260,6 +295,21 @@
         Ok(OpenGuard { addresses: Arc::clone(&self.addresses), address })
     }
 
+    /// Open connections to all addresses.
+    pub fn open_count(&self) -> usize {
+        lock(&self.addresses).values().map(|pool| pool.open).sum()
+    }
+
+    /// Closes idle connections to addresses that are not wanted any more.
+    pub fn retain(&self, is_wanted: impl Fn(&SocketAddr) -> bool) {
+        lock(&self.addresses).retain(|address, pool| pool.open > 0 || is_wanted(address));
+        for (address, pool) in lock(&self.addresses).iter_mut() {
+            if !is_wanted(address) {
+                pool.idle.clear();
+            }
+        }
+    }
+
     /// Closes all idle connections.
     pub fn close(self) {
         lock(&self.addresses).clear();
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -9,16 +9,16 @@
 use http::StatusCode;
 use link::{HttpServer, serve_http};
 use model::{InstanceName, StoreRevision};
-use platform::protocol::{
-    ANNOUNCE_PATH, AnnounceBody, ConflictBody, GRANT_PATH, GrantBody, INSTANCES_PATH, KEEP_PATH,
-    KeepBody, READ_PATH, ReadBody, SWAP_PATH, SwapBody, WATCH_PATH, WITHDRAW_PATH, WatchBody,
-};
-use platform::store::ListedServer;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use store::protocol::{
+    ANNOUNCE_PATH, AnnounceBody, ConflictBody, GRANT_PATH, GrantBody, INSTANCES_PATH, KEEP_PATH,
+    KeepBody, READ_PATH, ReadBody, SWAP_PATH, SwapBody, WATCH_PATH, WITHDRAW_PATH, WatchBody,
+};
+use store::store::ListedServer;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
--- a/crates/standin/src/store_state.rs
+++ b/crates/standin/src/store_state.rs
@@ -1,12 +1,12 @@
 //! The state of the platform's stand-in: values, leases and the lagging list.
 
 use model::{IncarnationId, InstanceName, InstanceRecord, Millis, StoreRevision};
-use platform::store::{InstanceList, LeaseId, ListedServer, StoreKey, StoredValue};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use store::store::{InstanceList, LeaseId, ListedServer, StoreKey, StoredValue};
 
 /// Faults that can be switched on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod http_store;
 pub mod protocol;
+pub mod replicated;
 pub mod store;
 
 pub use http_store::HttpStore;
+pub use replicated::{ReplicaStore, StoreCall, StoreItems, WatchAnswer};
 pub use store::{LeaseId, PlatformStore, StoreError, StoreFuture, StoreKey, StoredValue};
