Compare waiting with sending by time alone; do not pause servers that shed with room

Cause: while all servers of a service turned away half of their requests, the cost of failures made every server seem worse than waiting, so requests waited until they were too late. Log batches fit a pipe's atomic write now; lines were mixed up before.

--- a/crates/balance/src/picture.rs
+++ b/crates/balance/src/picture.rs
@@ -13,7 +13,7 @@
 /// First and longest pause of a server that cannot be reached.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
 const PAUSE_MAX: Duration = Duration::from_secs(2);
-/// Pause of a server that turned a request away although it seemed free.
+/// Pause of a full server that turned a request away.
 const SHED_PAUSE: Duration = Duration::from_millis(60);
 /// Time in which failures are forgotten by half.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -349,7 +349,11 @@
             }
             ExchangeOutcome::Shed => {
                 state.weigh(now, true);
-                state.paused_until = state.paused_until.max(now.after(SHED_PAUSE));
+                // A server that turns work away although it has room does so at random; a pause
+                // would only shift its work to others that may be no better.
+                if state.occupancy(now) >= state.spec.slots.0 {
+                    state.paused_until = state.paused_until.max(now.after(SHED_PAUSE));
+                }
             }
             ExchangeOutcome::Misdirected => state.is_misdirected = true,
             ExchangeOutcome::Unreachable => state.miss(now),
--- a/crates/balance/src/placing.rs
+++ b/crates/balance/src/placing.rs
@@ -132,8 +132,8 @@
         let work = inputs.work.as_secs_f64();
         let turn = work / busy.max(1.0) * (inputs.ahead as f64 + 1.0);
         match best {
-            Some((state, cost, span))
-                if inputs.may_crowd || cost <= turn + work * 1.3 || busy < 1.0 =>
+            Some((state, _, span))
+                if inputs.may_crowd || span <= turn + work * 1.3 || busy < 1.0 =>
             {
                 PlacingVerdict::Send(state.spec.key.clone(), Duration::from_secs_f64(span))
             }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -132,10 +132,10 @@
             }
         }
         self.history.push_back(change.clone());
-        if self.history.len() > HISTORY_MAX {
-            if let Some(oldest) = self.history.pop_front() {
-                self.history_after = self.history_after.max(oldest.revision);
-            }
+        if self.history.len() > HISTORY_MAX
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.history_after = self.history_after.max(oldest.revision);
         }
         true
     }
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -12,10 +12,10 @@
 use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Bytes that are collected before they go to the writing thread.
-const BATCH_BYTES: usize = 8 * 1024;
+/// Bytes that are collected before they go to the writing thread. A pipe takes so many as one piece.
+const BATCH_BYTES: usize = 4 * 1024;
 /// Batches that wait for the writing thread; more are dropped.
-const BATCHES_MAX: usize = 16;
+const BATCHES_MAX: usize = 32;
 /// Bound for lines on changes of state, as a multiple of the bound for requests.
 const STATE_FACTOR: f64 = 2.0;
 /// Part of the bound that ordinary requests leave for failed ones.
@@ -222,14 +222,15 @@
 
     fn write(&self, entry: &impl Serialize) {
         let mut buffer = self.buffer.borrow_mut();
-        if serde_json::to_writer(&mut buffer.bytes, entry).is_err() {
+        let Ok(line) = serde_json::to_vec(entry) else {
             buffer.dropped += 1;
             return;
-        }
-        buffer.bytes.push(b'\n');
-        if buffer.bytes.len() >= BATCH_BYTES {
+        };
+        if !buffer.bytes.is_empty() && buffer.bytes.len() + line.len() >= BATCH_BYTES {
             self.hand_over(&mut buffer);
         }
+        buffer.bytes.extend_from_slice(&line);
+        buffer.bytes.push(b'\n');
     }
 
     /// Hands what was collected to the writing thread.
