Check servers from their own data centre and tell the homes by datagram

Cause: health checks of both homes crossed data centres; their bytes and their number were the largest prices after machines. Change: the first usable instance of each data centre checks the servers there and sends the homes seven bytes a server; a home checks a server itself when it hears nothing of it. The store is read at once after a start.

--- a/crates/balance/src/picture.rs
+++ b/crates/balance/src/picture.rs
@@ -206,11 +206,16 @@
         self.paused_until = now.after(span.min(PAUSE_MAX));
     }
 
-    fn record_report(&mut self, now: MonoTime, report: LoadReport, own: usize) {
+    /// Requests that were sent after the report was made are not in it.
+    fn record_report(&mut self, made_at: MonoTime, report: LoadReport) {
+        if self.reported_at.is_some_and(|at| at > made_at) {
+            return;
+        }
+        let own = self.flights.values().filter(|sent| **sent <= made_at).count();
         let own = u32::try_from(own).unwrap_or(u32::MAX);
         self.foreign = (report.running + report.waiting).saturating_sub(own);
         self.pace = report.pace;
-        self.reported_at = Some(now);
+        self.reported_at = Some(made_at);
         self.misses = 0;
     }
 }
@@ -297,14 +302,12 @@
         }
     }
 
-    /// Takes over a report that came with an answer or a health check; `sent_own` is the number of
-    /// own requests that the server had when it was made.
-    pub fn record_report(&mut self, now: MonoTime, key: &ServerKey, report: LoadReport) {
+    /// Takes over a report that came with an answer or a health check, or from another instance.
+    pub fn record_report(&mut self, made_at: MonoTime, key: &ServerKey, report: LoadReport) {
         let Some(state) = self.servers.get_mut(key) else {
             return;
         };
-        let own = state.flights.len();
-        state.record_report(now, report, own);
+        state.record_report(made_at, report);
         self.mean_pace += MEAN_WEIGHT * (report.pace - self.mean_pace);
     }
 
--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -2,7 +2,7 @@
 
 use crate::record::MemberRecord;
 use crate::replica::StoreChange;
-use model::{ConfigVersion, Millis, StoreRevision};
+use model::{ConfigVersion, IncarnationId, Millis, ServerName, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 /// Longest datagram, in bytes; fits one Ethernet frame.
@@ -38,6 +38,32 @@
     pub changes: Vec<StoreChange>,
 }
 
+/// What a scout learned of one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadRow {
+    /// Names the run of the server; see [`server_tag`].
+    pub server: u32,
+    /// Requests that it works on.
+    pub running: u8,
+    /// Requests that wait there.
+    pub waiting: u8,
+    /// How many times longer than usual work takes, in tenths; zero if it did not answer well.
+    pub pace_tenths: u8,
+    /// Age of the report in milliseconds.
+    pub age_ms: u8,
+}
+
+/// A short name for one run of a backend server. Two servers may share one by chance; a report is
+/// then taken for both, which only misplaces a few requests.
+pub fn server_tag(name: &ServerName, incarnation: IncarnationId) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(name.as_str().as_bytes());
+    hasher.update(&incarnation.0.to_le_bytes());
+    let mut bytes = [0; 4];
+    bytes.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
+    u32::from_le_bytes(bytes)
+}
+
 /// A datagram between instances.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerDatagram {
@@ -45,6 +71,8 @@
     Beat(BeatMessage),
     /// The store changed.
     Changes(ChangeBatch),
+    /// What a scout learned of the servers in its data centre.
+    Loads(Vec<LoadRow>),
 }
 
 /// The answer to an instance that asks for the changes after a revision.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,8 +11,10 @@
 mod replica;
 mod watch;
 
-pub use datagram::{BeatMessage, ChangeBatch, DATAGRAM_MAX_BYTES, PeerDatagram, PullAnswer};
-pub use home::{HomePolicy, choose_homes, rank_members};
+pub use datagram::{
+    BeatMessage, ChangeBatch, DATAGRAM_MAX_BYTES, LoadRow, PeerDatagram, PullAnswer, server_tag,
+};
+pub use home::{HomePolicy, choose_homes, choose_scouts, rank_members};
 pub use member::{MemberTable, MemberView};
 pub use record::{MemberRecord, RecordDecoder, ServerRecord, StoreRecord};
 pub use replica::{ReplicaGap, StoreChange, StoreReplica};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -3,8 +3,8 @@
 use crate::datagram::BeatMessage;
 use crate::home::rank_members;
 use crate::record::MemberRecord;
-use model::{IncarnationId, InstanceName, MonoTime};
-use std::collections::BTreeMap;
+use model::{DataCentre, IncarnationId, InstanceName, MonoTime};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Silence after which an instance that should send heartbeats counts as gone; three are missing
@@ -123,18 +123,24 @@
         views
     }
 
-    /// Decides who is usable, in rank order: the first `senders` that are not silent should be heard.
+    /// Decides who is usable, in rank order. The first `senders` that are not silent and the first of
+    /// each data centre should be heard.
     fn judge(&mut self, now: MonoTime, views: &mut [MemberView]) {
         let mut expected = 0;
+        let mut centres: BTreeSet<DataCentre> = BTreeSet::new();
         for view in views {
+            let centre = view.record.data_centre.clone();
             if view.record.name == self.this.name {
                 expected += usize::from(self.is_ready);
+                if self.is_ready {
+                    centres.insert(centre);
+                }
                 continue;
             }
             let Some(state) = self.members.get_mut(&view.record.name) else {
                 continue;
             };
-            let is_expected = expected < self.senders;
+            let is_expected = expected < self.senders || !centres.contains(&centre);
             if !is_expected {
                 state.expected_since = None;
             } else if state.expected_since.is_none() {
@@ -147,6 +153,9 @@
             let says_ready = state.heard.as_ref().is_none_or(|(_, beat)| beat.is_ready);
             view.is_usable = !is_silent && (says_ready || (!is_recent && !is_expected));
             expected += usize::from(!is_silent);
+            if view.is_usable {
+                centres.insert(centre);
+            }
         }
     }
 
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -4,7 +4,7 @@
 use crate::settings_file::GatewaySettings;
 use fleet::{
     BeatMessage, ChangeBatch, MemberRecord, MemberTable, MemberView, PullAnswer, StoreChange,
-    StoreReplica, choose_homes,
+    StoreReplica, choose_homes, choose_scouts,
 };
 use model::{ConfigVersion, IncarnationId, InstanceName, MonoTime, StoreRevision};
 use std::net::SocketAddr;
@@ -28,6 +28,7 @@
     pub version: ConfigVersion,
     views: Vec<MemberView>,
     homes: Vec<MemberRecord>,
+    is_scout: bool,
 }
 
 impl FleetState {
@@ -51,6 +52,7 @@
             version: ConfigVersion(0),
             views: Vec::new(),
             homes: Vec::new(),
+            is_scout: false,
         }
     }
 
@@ -60,6 +62,8 @@
         let ranked: Vec<&MemberView> = self.views.iter().collect();
         let homes: Vec<MemberRecord> =
             choose_homes(&ranked, home_count).into_iter().map(|view| view.record.clone()).collect();
+        let this = &self.members.this().name;
+        self.is_scout = choose_scouts(&ranked).iter().any(|scout| scout.record.name == *this);
         let changed = homes != self.homes;
         self.homes = homes;
         changed
@@ -87,7 +91,19 @@
 
     /// Whether this instance sends heartbeats to all.
     pub fn is_sender(&self) -> bool {
-        self.rank() < SENDERS || self.is_watching
+        self.rank() < SENDERS || self.is_watching || self.is_scout
+    }
+
+    /// Whether this instance checks the servers of its data centre for all homes.
+    pub fn is_scout(&self) -> bool {
+        self.is_scout
+    }
+
+    /// Where reports on servers go: to all other homes.
+    pub fn report_targets(&self) -> Vec<SocketAddr> {
+        let name = &self.members.this().name;
+        let others = self.homes.iter().filter(|home| home.name != *name);
+        others.map(|home| home.datagram_address).collect()
     }
 
     /// Members that callers may be sent to.
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -1,11 +1,12 @@
 //! Talks to other instances: datagrams for heartbeats and changes, HTTP for what was missed.
 
+use crate::prober::take_loads;
 use crate::serve::{CallerAnswer, own_answer};
 use crate::state::GatewayState;
 use crate::store_sync::{refresh_fleet, take_batch};
 use anyhow::{Context, anyhow};
 use bytes::Bytes;
-use fleet::{ChangeBatch, DATAGRAM_MAX_BYTES, PeerDatagram, PullAnswer, StoreChange};
+use fleet::{ChangeBatch, DATAGRAM_MAX_BYTES, LoadRow, PeerDatagram, PullAnswer, StoreChange};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -24,6 +25,8 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Path on which an instance tells what changed after a revision.
 const CHANGES_PATH: &str = "/v1/changes/";
+/// Rows on servers in one datagram.
+const LOAD_ROWS_MAX: usize = 120;
 
 thread_local! {
     static SOCKET: OnceCell<Rc<UdpSocket>> = const { OnceCell::new() };
@@ -39,6 +42,18 @@
 }
 
 fn send_to_all(state: &GatewayState, datagram: &PeerDatagram) {
+    send_to(state, datagram, &state.fleet_ref().datagram_targets());
+}
+
+/// Tells the homes what this scout learned.
+pub(crate) fn send_loads(state: &GatewayState, rows: &[LoadRow]) {
+    let targets = state.fleet_ref().report_targets();
+    for part in rows.chunks(LOAD_ROWS_MAX) {
+        send_to(state, &PeerDatagram::Loads(part.to_vec()), &targets);
+    }
+}
+
+fn send_to(state: &GatewayState, datagram: &PeerDatagram, targets: &[SocketAddr]) {
     let Ok(bytes) = postcard::to_stdvec(datagram) else {
         state.log.state("datagram_unsendable", "");
         return;
@@ -47,9 +62,9 @@
         let Some(socket) = cell.get() else {
             return;
         };
-        for target in state.fleet_ref().datagram_targets() {
-            // Datagrams may be lost anyway; the next heartbeat tells the same.
-            let _ = socket.try_send_to(&bytes, target);
+        for target in targets {
+            // Datagrams may be lost anyway; the next one tells the same.
+            let _ = socket.try_send_to(&bytes, *target);
         }
     });
 }
@@ -122,6 +137,7 @@
                 state.sync.notify_one();
             }
         }
+        Ok(PeerDatagram::Loads(rows)) => take_loads(state, &rows),
         Ok(PeerDatagram::Changes(batch)) => {
             if take_batch(state, batch) {
                 state.sync.notify_one();
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -30,8 +30,9 @@
 const LEASE_SPAN: Millis = Millis(15_000);
 /// Time between renewals of the announcement.
 const RENEW_SPAN: Duration = Duration::from_secs(5);
-/// How long after its start an instance reads the store, so that one read sees most announcements.
-const FIRST_READ: Duration = Duration::from_millis(250);
+/// Pause after the first read, in which other instances that start at the same time announce
+/// themselves.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Spread of that time over the instances.
 const FIRST_SPREAD_MS: u64 = 200;
 /// How long servers that vanished while the store was in trouble are still used after it is back;
@@ -40,10 +41,16 @@
 
 /// Follows the store until the process ends.
 pub(crate) async fn run_sync(state: Rc<GatewayState>) {
-    let spread = Duration::from_millis(rand::rng().random_range(0..FIRST_SPREAD_MS));
-    tokio::time::sleep(FIRST_READ + spread).await;
     let mut pause = RETRY_FIRST;
-    let mut needs_read = true;
+    let mut needs_read = match read_store(&state).await {
+        Ok(()) => false,
+        Err(cause) => {
+            note_failure(&state, &cause);
+            true
+        }
+    };
+    let spread = Duration::from_millis(rand::rng().random_range(0..FIRST_SPREAD_MS));
+    tokio::time::sleep(FIRST_PAUSE + spread).await;
     loop {
         if duty(&state) == WatchDuty::Rely {
             state.fleet().is_watching = false;
