Keep requests in their data centre, and serve those that can meet their objective first

Cause: request and answer bodies between data centres cost up to a tenth of a request's worth; under bursts the queue served requests that were late anyway before those that were not. Ruled out: a fixed distance of 12, 60 and 120 ms; relative to the work it fits both sites. A server that was added gets a first request wherever it stands.

--- a/crates/balance/src/picture.rs
+++ b/crates/balance/src/picture.rs
@@ -106,7 +106,7 @@
     is_misdirected: bool,
     stray_until: MonoTime,
     warm_at: MonoTime,
-    first_seen: MonoTime,
+    sent: u64,
 }
 
 impl BackendState {
@@ -125,7 +125,7 @@
             paused_until: MonoTime(0),
             is_misdirected: false,
             stray_until: MonoTime(0),
-            first_seen: now,
+            sent: 0,
         }
     }
 
@@ -183,9 +183,9 @@
         now < self.stray_until
     }
 
-    /// When it was first seen.
-    pub fn first_seen(&self) -> MonoTime {
-        self.first_seen
+    /// Whether this instance has sent it no request yet.
+    pub fn is_untried(&self) -> bool {
+        self.sent == 0
     }
 
     fn forget_factor(&self, now: MonoTime) -> f64 {
@@ -299,6 +299,7 @@
     pub fn start_flight(&mut self, now: MonoTime, key: &ServerKey, flight: u64) {
         if let Some(state) = self.servers.get_mut(key) {
             state.flights.insert(flight, now);
+            state.sent += 1;
         }
     }
 
--- a/crates/balance/src/placing.rs
+++ b/crates/balance/src/placing.rs
@@ -10,8 +10,11 @@
 const PACE_REST: Duration = Duration::from_millis(250);
 /// What a failed request costs, as time.
 const FAILURE_COST: Duration = Duration::from_millis(1_500);
-/// What a server in another data centre costs, as time; its bytes are priced.
-const DISTANCE_COST: Duration = Duration::from_millis(12);
+/// What a server in another data centre costs, as a part of the request's work; its bytes are priced.
+const DISTANCE_SHARE: f64 = 0.6;
+/// Advantage of a server that this instance has not tried yet, as time, so that servers that were
+/// added get work wherever they stand.
+const UNTRIED_BONUS: Duration = Duration::from_millis(150);
 /// How much longer work takes at a server whose slots are all taken than at an idle one.
 const CROWDING: f64 = 0.15;
 /// Random addition that breaks ties, as a part of the cost.
@@ -92,9 +95,10 @@
         let queued = (occupied - slots + 1.0).max(0.0) / slots * span;
         let failure = state.failure_share(now) * FAILURE_COST.as_secs_f64();
         let is_near = state.spec.data_centre == *inputs.data_centre;
-        let distance = if is_near { 0.0 } else { DISTANCE_COST.as_secs_f64() };
+        let distance = if is_near { 0.0 } else { inputs.work.as_secs_f64() * DISTANCE_SHARE };
         let tie = 1.0 + self.random.random_range(0.0..TIE_SPREAD);
-        ((span + queued + failure + distance) * tie, span + queued)
+        let bonus = if state.is_untried() { UNTRIED_BONUS.as_secs_f64() } else { 0.0 };
+        ((span + queued + failure + distance) * tie - bonus, span + queued)
     }
 }
 
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -1,7 +1,9 @@
 //! The queue of requests that wait for a slot, over all services.
 //!
-//! A request is sent only into a slot that is believed free. Higher rank goes first, then the one that
-//! arrived first. A request that probably can't be answered in time is turned away at once.
+//! A request is sent only into a slot that is believed free. Those that can still meet their objective
+//! go before those that are late anyway; among them higher rank goes first, then the one that arrived
+//! first. Under more load than the servers bear, a queue without this serves everything late. A
+//! request that probably can't be answered in time is turned away at once.
 
 use crate::budget::{BudgetPolicy, RetryWindow};
 use crate::picture::{ExchangeOutcome, LoadPicture, ServerKey};
@@ -41,6 +43,8 @@
     pub priority: u8,
     /// When it arrived at this instance.
     pub arrived: MonoTime,
+    /// Until when an answer is worth most.
+    pub objective: MonoTime,
     /// When an answer is of no use any more.
     pub deadline: MonoTime,
     /// Servers that already had it.
@@ -321,7 +325,12 @@
         let mut is_blocked = false;
         let orders: Vec<OrderKey> = queue.keys().copied().collect();
         let mut ahead = 0;
-        for order in orders {
+        let is_late = |order: &OrderKey| {
+            let spec = &queue[order].spec;
+            now.after(self.work.work_of(&spec.route)) > spec.objective
+        };
+        let (late, timely): (Vec<_>, Vec<_>) = orders.into_iter().partition(is_late);
+        for order in timely.into_iter().chain(late) {
             let request = &queue[&order];
             let work = self.work.work_of(&request.spec.route);
             let place = request.place;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -146,6 +146,7 @@
         route: routed.route.name.clone(),
         priority: routed.route.priority,
         arrived: routed.arrived,
+        objective: routed.arrived.after(routed.route.objective.span()),
         deadline: routed.call.deadline,
         avoid: tried.to_vec(),
     }
