--- /dev/null
+++ b/crates/balance/tests/budget.rs
@@ -0,0 +1,53 @@
+//! The retry budget holds over all instances, however the requests are spread.
+
+mod support;
+
+use balance::RetryWindow;
+use proptest::prelude::*;
+use support::{BUDGET, at};
+
+proptest! {
+    #[test]
+    fn no_window_exceeds_the_budget(
+        events in prop::collection::vec((0_usize..4, 0_u64..40, any::<bool>()), 1..2_000),
+    ) {
+        let mut windows: Vec<RetryWindow> = (0..4).map(|_| RetryWindow::new(BUDGET)).collect();
+        for window in &mut windows {
+            window.set_extra_part(0.25);
+        }
+        let mut now = 0;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (instance, pause, is_request) in events {
+            now += pause;
+            if is_request {
+                windows[instance].record_request(at(now));
+                requests.push(now);
+            } else if windows[instance].take_repeat(at(now), 0.0) {
+                repeats.push(now);
+            }
+        }
+        for end in &repeats {
+            let in_window = |time: &&u64| **time + 10_000 > *end && **time <= *end;
+            let repeated = repeats.iter().filter(in_window).count() as f64;
+            // Requests may count in the window before as well; the bound here is the strict one.
+            let asked = requests.iter().filter(|time| **time + 10_200 > *end && **time <= *end);
+            let allowed = asked.count() as f64 * BUDGET.ratio + BUDGET.extra;
+            prop_assert!(repeated <= allowed, "{repeated} repeats, {allowed} allowed");
+        }
+    }
+}
+
+#[test]
+fn an_instance_without_a_part_has_no_repeats_before_requests() {
+    let mut window = RetryWindow::new(BUDGET);
+    assert!(!window.take_repeat(at(1), 0.0));
+}
+
+#[test]
+fn a_reserve_is_left_for_failures() {
+    let mut window = RetryWindow::new(BUDGET);
+    window.set_extra_part(0.5);
+    let copies = (0..100).filter(|_| window.take_repeat(at(1), 0.4)).count();
+    assert_eq!(copies, 18);
+    assert!(window.take_repeat(at(1), 0.0));
+}
--- /dev/null
+++ b/crates/balance/tests/placing.rs
@@ -0,0 +1,77 @@
+//! Which server a request goes to.
+
+mod support;
+
+use balance::{ExchangeOutcome, QueueDecision, RequestQueue, RequestSpec};
+use support::{at, key, queue, report, request, spec};
+use testkit::cases;
+
+fn placed(queue: &mut RequestQueue, spec: RequestSpec) -> usize {
+    match queue.arrive(at(50), spec) {
+        (_, Some(QueueDecision::Send(placement))) => {
+            placement.key.name.as_str()[1..].parse().expect("number")
+        }
+        (_, other) => panic!("expected a slot, found {other:?}"),
+    }
+}
+
+/// What is known of the first of two servers; the request should go to the other one or not.
+enum Fact {
+    Slow,
+    SlowLongAgo,
+    Failing,
+    Far,
+    FarAndOtherSlow,
+    Avoided,
+    Untried,
+    Unreachable,
+    Misdirected,
+}
+
+fn check_choice(fact: Fact, expected: usize) {
+    let far = matches!(fact, Fact::Far | Fact::FarAndOtherSlow);
+    let first = spec(0, if far { "south" } else { "north" });
+    let mut queue = queue(vec![first, spec(1, "north")]);
+    let mut wanted = request(at(50), 1);
+    queue.picture.record_report(at(45), &key(1), report(0, 1.0));
+    queue.picture.record_report(at(45), &key(0), report(0, 1.0));
+    match fact {
+        Fact::Slow => queue.picture.record_report(at(49), &key(0), report(0, 7.0)),
+        Fact::SlowLongAgo => {
+            // The other one is slower by far, and that is known to be so now.
+            queue.picture.record_report(at(49), &key(1), report(0, 7.0));
+        }
+        Fact::Failing => {
+            for flight in 0..6 {
+                queue.picture.start_flight(at(46), &key(0), flight);
+                queue.picture.end_flight(at(46), &key(0), flight, ExchangeOutcome::Failed);
+            }
+        }
+        Fact::Far => {}
+        Fact::FarAndOtherSlow => {
+            queue.picture.record_report(at(49), &key(1), report(0, 7.0));
+        }
+        Fact::Avoided => wanted.avoid = vec![key(0)],
+        Fact::Untried => {
+            queue.picture.set_servers(at(47), vec![spec(1, "north"), spec(2, "south")]);
+        }
+        Fact::Unreachable => {
+            queue.picture.start_flight(at(46), &key(0), 1);
+            queue.picture.end_flight(at(46), &key(0), 1, ExchangeOutcome::Unreachable);
+        }
+        Fact::Misdirected => queue.picture.record_misdirected(&key(0)),
+    }
+    assert_eq!(placed(&mut queue, wanted), expected);
+}
+
+cases! { check_choice {
+    slow_now: (Fact::Slow, 1);
+    the_other_slow_now: (Fact::SlowLongAgo, 0);
+    failing: (Fact::Failing, 1);
+    far: (Fact::Far, 1);
+    far_but_the_other_slow: (Fact::FarAndOtherSlow, 0);
+    avoided: (Fact::Avoided, 1);
+    untried_server_in_another_data_centre: (Fact::Untried, 2);
+    unreachable: (Fact::Unreachable, 1);
+    address_of_another_server: (Fact::Misdirected, 1);
+} }
--- /dev/null
+++ b/crates/balance/tests/support/mod.rs
@@ -0,0 +1,75 @@
+//! Servers and requests for the tests of this crate.
+
+use balance::{
+    BackendSpec, BudgetPolicy, ExpectedFinish, LoadReport, QueuePolicy, RequestQueue, RequestSpec,
+    ServerKey,
+};
+use model::{IncarnationId, Millis, MonoTime, ServiceName, SlotCount};
+use std::time::Duration;
+
+/// The service of all servers.
+pub fn service() -> ServiceName {
+    "orders".parse().expect("name")
+}
+
+/// A time in milliseconds.
+pub fn at(millis: u64) -> MonoTime {
+    MonoTime(millis * 1_000)
+}
+
+/// The key of a server.
+pub fn key(index: usize) -> ServerKey {
+    let name = format!("s{index}").parse().expect("name");
+    ServerKey { name, incarnation: IncarnationId(1) }
+}
+
+/// A server in a data centre.
+pub fn spec(index: usize, centre: &str) -> BackendSpec {
+    BackendSpec {
+        key: key(index),
+        service: service(),
+        address: format!("127.0.0.1:{}", 7000 + index).parse().expect("address"),
+        data_centre: centre.parse().expect("name"),
+        slots: SlotCount(2),
+        is_leaving: false,
+        warm_up_left: Millis(0),
+    }
+}
+
+/// A request that arrives at a time.
+pub fn request(arrived: MonoTime, priority: u8) -> RequestSpec {
+    RequestSpec {
+        service: service(),
+        route: "r".into(),
+        priority,
+        arrived,
+        objective: arrived.after(Duration::from_millis(600)),
+        deadline: arrived.after(Duration::from_millis(1_500)),
+        avoid: Vec::new(),
+    }
+}
+
+/// A report of a server.
+pub fn report(running: u32, pace: f64) -> LoadReport {
+    LoadReport { running, waiting: 0, pace }
+}
+
+/// The budget of the tests.
+pub const BUDGET: BudgetPolicy =
+    BudgetPolicy { ratio: 0.2, extra: 60.0, window: Duration::from_secs(10) };
+
+/// A queue over servers that are idle and work at their usual pace, all tried before.
+pub fn queue(specs: Vec<BackendSpec>) -> RequestQueue {
+    let policy =
+        QueuePolicy { data_centre: "north".parse().expect("name"), waiting_max: 4, budget: BUDGET };
+    let mut queue = RequestQueue::new(policy, Box::new(ExpectedFinish::default()));
+    let keys: Vec<ServerKey> = specs.iter().map(|spec| spec.key.clone()).collect();
+    queue.picture.set_servers(at(0), specs);
+    for (index, key) in keys.iter().enumerate() {
+        let flight = 1_000_000 + index as u64;
+        queue.picture.start_flight(at(0), key, flight);
+        queue.picture.end_flight(at(0), key, flight, balance::ExchangeOutcome::Answered);
+        queue.picture.record_report(at(0), key, report(0, 1.0));
+    }
+    queue
+}
--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,173 @@
+//! Who is alive, who is a home, who scouts and who watches.
+
+use fleet::{
+    BeatMessage, HomePolicy, MemberRecord, MemberTable, MemberView, WatchDuty, WatchInputs,
+    choose_homes, choose_scouts, rank_members, watch_duty,
+};
+use model::{ConfigVersion, IncarnationId, Millis, MonoTime, StoreRevision};
+use std::net::SocketAddr;
+use std::time::Duration;
+use testkit::cases;
+
+const CENTRES: [&str; 3] = ["north", "south", "west"];
+
+fn record(index: usize) -> MemberRecord {
+    let address: SocketAddr = format!("127.0.0.1:{}", 9000 + index).parse().expect("address");
+    MemberRecord {
+        name: format!("m{index}").parse().expect("name"),
+        incarnation: IncarnationId(1),
+        data_centre: CENTRES[index % CENTRES.len()].parse().expect("name"),
+        caller_address: address,
+        peer_address: address,
+        datagram_address: address,
+        capacity: 200,
+    }
+}
+
+fn beat(member: MemberRecord, is_ready: bool) -> BeatMessage {
+    BeatMessage {
+        member,
+        is_ready,
+        store_lost: false,
+        as_of: StoreRevision(1),
+        confirmed_age: Millis(0),
+        version: ConfigVersion(1),
+    }
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime(millis * 1_000)
+}
+
+/// A table of twelve members as the first one sees it.
+fn table() -> MemberTable {
+    let mut table = MemberTable::new(record(0), 5);
+    table.set_ready(true);
+    table.set_listed((0..12).map(record).collect());
+    table
+}
+
+fn hear_all(table: &mut MemberTable, now: MonoTime, but: &[usize]) {
+    for index in (1..12).filter(|index| !but.contains(index)) {
+        table.record_beat(now, beat(record(index), true));
+    }
+}
+
+fn homes(table: &mut MemberTable, now: MonoTime) -> Vec<String> {
+    let views = table.views(now);
+    let ranked: Vec<&MemberView> = views.iter().collect();
+    choose_homes(&ranked, 2).iter().map(|home| home.record.name.to_string()).collect()
+}
+
+#[test]
+fn homes_stand_in_different_data_centres() {
+    let mut table = table();
+    let views = table.views(at(0));
+    let ranked: Vec<&MemberView> = views.iter().collect();
+    for count in 1..=3 {
+        let homes = choose_homes(&ranked, count);
+        let mut centres: Vec<String> =
+            homes.iter().map(|home| home.record.data_centre.to_string()).collect();
+        centres.dedup();
+        assert_eq!(centres.len(), count);
+    }
+}
+
+#[test]
+fn a_silent_home_is_replaced_and_returns_when_heard() {
+    let mut table = table();
+    hear_all(&mut table, at(0), &[]);
+    let before = homes(&mut table, at(10));
+    let lost: usize = before.iter().find(|name| *name != "m0").expect("another home")[1..]
+        .parse()
+        .expect("number");
+    for now in [300, 600, 900, 1_200] {
+        hear_all(&mut table, at(now), &[lost]);
+        homes(&mut table, at(now));
+    }
+    let after = homes(&mut table, at(1_250));
+    assert!(!after.contains(&format!("m{lost}")), "{after:?}");
+    assert_eq!(after.len(), 2);
+    table.record_beat(at(1_300), beat(record(lost), true));
+    assert_eq!(homes(&mut table, at(1_310)), before);
+}
+
+#[test]
+fn a_member_that_says_it_leaves_is_no_home_at_once() {
+    let mut table = table();
+    hear_all(&mut table, at(0), &[]);
+    let before = homes(&mut table, at(10));
+    let leaving: usize = before.iter().find(|name| *name != "m0").expect("another home")[1..]
+        .parse()
+        .expect("number");
+    table.record_beat(at(20), beat(record(leaving), false));
+    assert!(!homes(&mut table, at(21)).contains(&format!("m{leaving}")));
+}
+
+#[test]
+fn a_late_heartbeat_of_an_earlier_run_changes_nothing() {
+    let mut table = table();
+    let newer = MemberRecord { incarnation: IncarnationId(2), ..record(3) };
+    table.record_beat(at(0), beat(newer, true));
+    table.record_beat(at(5), beat(record(3), false));
+    assert_eq!(table.incarnation(&record(3).name), Some(IncarnationId(2)));
+    assert!(table.views(at(6)).iter().any(|v| v.record.name == record(3).name && v.is_usable));
+}
+
+#[test]
+fn all_but_this_one_lost_leaves_this_one() {
+    let mut table = table();
+    let mut now = 0;
+    while now < 12_000 {
+        homes(&mut table, at(now));
+        now += 300;
+    }
+    assert_eq!(homes(&mut table, at(now)), ["m0"]);
+}
+
+#[test]
+fn every_data_centre_has_one_scout() {
+    let mut table = table();
+    let views = table.views(at(0));
+    let ranked: Vec<&MemberView> = views.iter().collect();
+    let scouts = choose_scouts(&ranked);
+    assert_eq!(scouts.len(), CENTRES.len());
+}
+
+#[test]
+fn instances_rank_alike_whatever_order_they_know() {
+    let views: Vec<MemberView> =
+        (0..12).map(|index| MemberView { record: record(index), is_usable: true }).collect();
+    let reversed: Vec<MemberView> = views.iter().rev().cloned().collect();
+    let names = |ranked: Vec<&MemberView>| -> Vec<String> {
+        ranked.iter().map(|view| view.record.name.to_string()).collect()
+    };
+    assert_eq!(names(rank_members(&views)), names(rank_members(&reversed)));
+}
+
+fn check_home_count(servers: usize, expected: usize) {
+    let policy = HomePolicy { homes_min: 2, servers_per_home: 40 };
+    assert_eq!(policy.home_count(servers), expected);
+}
+
+cases! { check_home_count {
+    none_known: (0, 2);
+    small_fleet: (34, 2);
+    larger_fleet: (189, 5);
+} }
+
+fn check_duty(rank: usize, age_ms: u64, all_lost: bool, expected: WatchDuty) {
+    let inputs =
+        WatchInputs { rank, watchers: 2, confirmed_age: Duration::from_millis(age_ms), all_lost };
+    assert_eq!(watch_duty(inputs), expected);
+}
+
+cases! { check_duty {
+    first_always: (0, 0, false, WatchDuty::Watch);
+    second_always: (1, 0, false, WatchDuty::Watch);
+    third_relies: (2, 1_000, false, WatchDuty::Rely);
+    third_steps_in: (2, 1_400, false, WatchDuty::Watch);
+    fourth_waits_longer: (3, 1_400, false, WatchDuty::Rely);
+    third_steps_in_early: (2, 200, true, WatchDuty::Watch);
+    last_of_many: (500, 4_000, false, WatchDuty::Watch);
+} }
--- /dev/null
+++ b/crates/fleet/tests/replica.rs
@@ -0,0 +1,167 @@
+//! The replica of the store, however its changes arrive.
+
+use fleet::{ReplicaGap, StoreChange, StoreReplica};
+use model::StoreRevision;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn change(key: &str, value: Option<&str>, revision: u64) -> StoreChange {
+    StoreChange { key: key.into(), value: value.map(Into::into), revision: StoreRevision(revision) }
+}
+
+fn content(replica: &StoreReplica) -> Vec<(String, String)> {
+    replica.items().map(|(key, value)| (key.to_string(), value.to_string())).collect()
+}
+
+fn pair(key: &str, value: &str) -> (String, String) {
+    (key.into(), value.into())
+}
+
+fn filled() -> StoreReplica {
+    let mut replica = StoreReplica::default();
+    replica.apply_snapshot(
+        StoreRevision(10),
+        vec![change("a", Some("1"), 3), change("b", Some("2"), 9)],
+    );
+    replica
+}
+
+#[test]
+fn a_gap_changes_nothing() {
+    let mut replica = filled();
+    let result =
+        replica.apply_changes(StoreRevision(12), StoreRevision(13), vec![change("a", None, 13)]);
+    assert_eq!(result, Err(ReplicaGap { as_of: StoreRevision(10) }));
+    assert_eq!(content(&replica), [pair("a", "1"), pair("b", "2")]);
+}
+
+#[test]
+fn repeated_changes_are_taken_once() {
+    let mut replica = filled();
+    let changes = vec![change("a", Some("5"), 11), change("c", Some("6"), 12)];
+    let first = replica.apply_changes(StoreRevision(10), StoreRevision(12), changes.clone());
+    let second = replica.apply_changes(StoreRevision(10), StoreRevision(12), changes);
+    assert_eq!(first.map(|applied| applied.len()), Ok(2));
+    assert_eq!(second.map(|applied| applied.len()), Ok(0));
+}
+
+#[test]
+fn an_older_snapshot_does_not_bring_back_what_was_removed() {
+    let mut replica = filled();
+    replica
+        .apply_changes(StoreRevision(10), StoreRevision(11), vec![change("a", None, 11)])
+        .expect("no gap");
+    replica.apply_snapshot(StoreRevision(10), vec![change("a", Some("1"), 3)]);
+    assert_eq!(content(&replica), [pair("b", "2")]);
+}
+
+#[test]
+fn a_snapshot_removes_what_it_lacks_but_for_newer_items() {
+    let mut replica = filled();
+    replica.apply_changes(StoreRevision(10), StoreRevision(10), Vec::new()).expect("no gap");
+    replica.apply_snapshot(
+        StoreRevision(20),
+        vec![change("b", Some("7"), 15), change("d", Some("8"), 21)],
+    );
+    assert_eq!(content(&replica), [pair("b", "7"), pair("d", "8")]);
+}
+
+#[test]
+fn a_replica_tells_removals_that_a_snapshot_showed() {
+    let mut replica = filled();
+    let mut other = filled();
+    replica.apply_snapshot(StoreRevision(20), vec![change("b", Some("2"), 9)]);
+    let changes = replica.changes_after(other.as_of()).expect("history reaches back");
+    other.apply_changes(StoreRevision(10), replica.as_of(), changes).expect("no gap");
+    assert_eq!(content(&other), content(&replica));
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8, u8),
+    Remove(u8),
+    Watch,
+    Read,
+    Relay,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0_u8..6, any::<u8>()).prop_map(|(key, value)| Step::Write(key, value)),
+        2 => (0_u8..6).prop_map(Step::Remove),
+        3 => Just(Step::Watch),
+        1 => Just(Step::Read),
+        3 => Just(Step::Relay),
+    ]
+}
+
+/// A store that remembers everything.
+#[derive(Default)]
+struct ModelStore {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+    log: Vec<StoreChange>,
+}
+
+impl ModelStore {
+    fn apply(&mut self, key: u8, value: Option<u8>) {
+        let key = format!("k{key}");
+        self.revision += 1;
+        let text = value.map(|value| value.to_string());
+        self.log.push(change(&key, text.as_deref(), self.revision));
+        match text {
+            Some(text) => {
+                self.items.insert(key, (text, self.revision));
+            }
+            None => {
+                self.items.remove(&key);
+            }
+        }
+    }
+
+    fn after(&self, revision: StoreRevision) -> Vec<StoreChange> {
+        self.log.iter().filter(|change| change.revision > revision).cloned().collect()
+    }
+
+    fn all(&self) -> Vec<StoreChange> {
+        self.items.iter().map(|(key, (value, at))| change(key, Some(value), *at)).collect()
+    }
+}
+
+proptest! {
+    /// One replica follows the store by watches and reads, another follows the first.
+    #[test]
+    fn replicas_agree_with_the_store(steps in prop::collection::vec(step(), 1..120)) {
+        let mut store = ModelStore { revision: 1, ..ModelStore::default() };
+        let (mut first, mut second) = (StoreReplica::default(), StoreReplica::default());
+        first.apply_snapshot(StoreRevision(1), Vec::new());
+        for step in steps.into_iter().chain([Step::Watch, Step::Relay]) {
+            match step {
+                Step::Write(key, value) => store.apply(key, Some(value)),
+                Step::Remove(key) => store.apply(key, None),
+                Step::Watch => {
+                    let after = first.as_of();
+                    let changes = store.after(after);
+                    let applied = first.apply_changes(after, StoreRevision(store.revision), changes);
+                    prop_assert!(applied.is_ok());
+                }
+                Step::Read => {
+                    first.apply_snapshot(StoreRevision(store.revision), store.all());
+                }
+                Step::Relay => match first.changes_after(second.as_of()) {
+                    Some(changes) if second.as_of() != StoreRevision(0) => {
+                        let after = second.as_of();
+                        prop_assert!(second.apply_changes(after, first.as_of(), changes).is_ok());
+                    }
+                    _ => {
+                        second.apply_snapshot(first.as_of(), first.snapshot());
+                    }
+                },
+            }
+        }
+        let expected: Vec<(String, String)> =
+            store.items.iter().map(|(key, (value, _))| (key.clone(), value.clone())).collect();
+        prop_assert_eq!(content(&first), expected.clone());
+        prop_assert_eq!(content(&second), expected);
+    }
+}
--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -1,7 +1,7 @@
 //! The port for callers: checks a request, finds its route and reads its body.
 
 use crate::exchange::{OutboundCall, end_to_end};
-use crate::serve::{CallerAnswer, RoutedCall, no_config_answer, own_answer, serve_routed};
+use crate::serve::{CallRejection, CallerAnswer, RoutedCall, serve_routed};
 use crate::state::GatewayState;
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
@@ -14,6 +14,8 @@
 
 /// Part of the memory that bodies of requests in progress may take.
 const BODY_MEMORY_SHARE: f64 = 0.25;
+/// When a caller may come back that found the memory for bodies in use.
+const MEMORY_RETRY: Millis = Millis(200);
 /// Longest accepted deadline; a caller that names more gets this.
 const DEADLINE_MAX: Duration = Duration::from_secs(120);
 
@@ -41,9 +43,10 @@
             drop(bytes);
             answer
         }
-        Err(answer) => {
-            state.metrics.rejected(answer.status().as_u16());
-            answer
+        Err(rejection) => {
+            state.metrics.rejected(rejection.status.as_u16());
+            state.log.rejection(rejection.status.as_u16(), rejection.text);
+            rejection.answer()
         }
     };
     if state.is_stopping() {
@@ -62,31 +65,31 @@
 fn find_route(
     table: &RouteTable,
     request: &Request<Incoming>,
-) -> Result<Rc<RouteEntry>, CallerAnswer> {
+) -> Result<Rc<RouteEntry>, CallRejection> {
     let Some(host) = host_of(request) else {
-        return Err(own_answer(StatusCode::BAD_REQUEST, "no host", None));
+        return Err(CallRejection::new(StatusCode::BAD_REQUEST, "no host"));
     };
     let route = table.find(host, request.uri().path());
-    route.cloned().ok_or_else(|| own_answer(StatusCode::NOT_FOUND, "no route", None))
+    route.cloned().ok_or_else(|| CallRejection::new(StatusCode::NOT_FOUND, "no route"))
 }
 
 async fn accept_call(
     state: &Rc<GatewayState>,
     request: Request<Incoming>,
-) -> Result<(RoutedCall, BodyBytes), CallerAnswer> {
+) -> Result<(RoutedCall, BodyBytes), CallRejection> {
     let arrived = state.now();
-    let table = state.table().ok_or_else(no_config_answer)?;
+    let table = state.table().ok_or_else(CallRejection::no_config)?;
     let route = find_route(&table, &request)?;
     let names = state.dialect.headers();
     let Some(request_id) = request.headers().get(&names.request_id).cloned() else {
-        return Err(own_answer(StatusCode::BAD_REQUEST, "no request id", None));
+        return Err(CallRejection::new(StatusCode::BAD_REQUEST, "no request id"));
     };
     let patience = match request.headers().get(&names.deadline) {
         None => route.timeout.span(),
         Some(value) => {
             let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
             let Some(millis) = millis else {
-                return Err(own_answer(StatusCode::BAD_REQUEST, "deadline is no number", None));
+                return Err(CallRejection::new(StatusCode::BAD_REQUEST, "deadline is no number"));
             };
             Millis(millis).span().min(DEADLINE_MAX)
         }
@@ -95,17 +98,19 @@
     let (parts, body) = request.into_parts();
     let due = state.clock.instant_of(deadline);
     let limit = table.limits.body_bytes;
-    let (body, bytes) =
-        match tokio::time::timeout_at(due.into(), read_body(state, body, limit)).await {
-            Ok(read) => read?,
-            Err(_) => {
-                return Err(own_answer(StatusCode::REQUEST_TIMEOUT, "body came too slowly", None));
-            }
-        };
+    let (body, bytes) = match tokio::time::timeout_at(due.into(), read_body(state, body, limit))
+        .await
+    {
+        Ok(read) => read?,
+        Err(_) => {
+            return Err(CallRejection::new(StatusCode::REQUEST_TIMEOUT, "body came too slowly"));
+        }
+    };
     let service = state.splits.borrow_mut().next(&route).clone();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri: Uri =
-        path.parse().map_err(|_| own_answer(StatusCode::BAD_REQUEST, "path is not valid", None))?;
+    let uri: Uri = path
+        .parse()
+        .map_err(|_| CallRejection::new(StatusCode::BAD_REQUEST, "path is not valid"))?;
     let call = OutboundCall {
         method: parts.method,
         uri,
@@ -123,16 +128,16 @@
     state: &Rc<GatewayState>,
     body: Incoming,
     limit: usize,
-) -> Result<(Bytes, BodyBytes), CallerAnswer> {
+) -> Result<(Bytes, BodyBytes), CallRejection> {
     let told = body.size_hint().lower();
     if told > limit as u64 {
-        return Err(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "body is too long", None));
+        return Err(CallRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"));
     }
     let room = (state.settings().memory_mb as f64 * 1024.0 * 1024.0 * BODY_MEMORY_SHARE) as usize;
     let mut bytes = BodyBytes { state: Rc::clone(state), bytes: 0 };
     if state.body_bytes.get().saturating_add(usize::try_from(told).unwrap_or(usize::MAX)) > room {
         let text = "too many bodies in progress";
-        return Err(own_answer(StatusCode::SERVICE_UNAVAILABLE, text, Some(Millis(200))));
+        return Err(CallRejection::unavailable(text, MEMORY_RETRY));
     }
     let room_left = room - state.body_bytes.get();
     match Limited::new(body, limit.min(room_left)).collect().await {
@@ -143,8 +148,8 @@
             Ok((body, bytes))
         }
         Err(cause) if cause.is::<LengthLimitError>() => {
-            Err(own_answer(StatusCode::PAYLOAD_TOO_LARGE, "body is too long", None))
+            Err(CallRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
         }
-        Err(_) => Err(own_answer(StatusCode::BAD_REQUEST, "body is broken", None)),
+        Err(_) => Err(CallRejection::new(StatusCode::BAD_REQUEST, "body is broken")),
     }
 }
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -82,6 +82,15 @@
     took_ms: u128,
 }
 
+#[derive(Serialize)]
+struct RejectionEntry<'a> {
+    at: f64,
+    on: &'a str,
+    event: &'a str,
+    status: u16,
+    cause: &'a str,
+}
+
 #[derive(Serialize)]
 struct StateEntry<'a> {
     at: f64,
@@ -174,6 +183,15 @@
         });
     }
 
+    /// Logs a request that was not accepted.
+    pub fn rejection(&self, status: u16, text: &str) {
+        if !self.admit_request(true) {
+            return;
+        }
+        let (at, on) = (wall_clock(), self.name.as_str());
+        self.write(&RejectionEntry { at, on, event: "rejected", status, cause: text });
+    }
+
     /// Logs a change of state.
     pub fn state(&self, event: &str, detail: &str) {
         if !self.admit_state() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use crate::side_port::{answer_directory, answer_metrics, answer_ready};
 use crate::slots::run_queue;
 use crate::state::{GatewayDecoder, GatewayState};
-use crate::stop::{run_reload, run_stop};
+use crate::stop::{run_reload, run_stop, wait_signal};
 use crate::store_sync::{run_announcement, run_sync};
 use model::IncarnationId;
 use smol_str::format_smolstr;
@@ -38,8 +38,19 @@
 /// # Errors
 /// A port that cannot be opened, or signals that cannot be received.
 pub fn run_gateway(parts: GatewayParts) -> anyhow::Result<()> {
+    run_gateway_until(parts, wait_signal())
+}
+
+/// Runs an instance like [`run_gateway`] until `asked` ends.
+///
+/// # Errors
+/// A port that cannot be opened, or the error of `asked`.
+pub fn run_gateway_until(
+    parts: GatewayParts,
+    asked: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run_tasks(parts))
+    LocalSet::new().block_on(&runtime, run_tasks(parts, asked))
 }
 
 /// Milliseconds since 1970, so that a restarted instance has a greater incarnation.
@@ -48,12 +59,16 @@
     IncarnationId(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
-async fn run_tasks(parts: GatewayParts) -> anyhow::Result<()> {
+async fn run_tasks(
+    parts: GatewayParts,
+    asked: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
     let GatewayParts { settings, settings_file, dialect, decoder, store } = parts;
-    let state = Rc::new(GatewayState::new(settings, dialect, decoder, store, new_incarnation()));
+    let socket = open_socket(settings.datagram_address)?;
+    let state = GatewayState::new(settings, dialect, decoder, store, new_incarnation(), socket);
+    let state = Rc::new(state);
     let settings = state.settings();
     state.log.state("start", &format_smolstr!("incarnation {}", state.incarnation));
-    let socket = open_socket(settings.datagram_address)?;
     let side = |listener, answer| spawn_local(serve_side(Rc::clone(&state), listener, answer));
     let callers = open_port(settings.caller_address)?;
     spawn_local(serve_port(Rc::clone(&state), callers, PortKind::Callers, answer_caller));
@@ -61,14 +76,14 @@
     side(open_port(settings.directory_address)?, SidePort::Directory);
     side(open_port(settings.peer_address)?, SidePort::Peers);
     side(open_port(settings.metrics_address)?, SidePort::Metrics);
-    spawn_local(run_datagrams(Rc::clone(&state), socket));
+    spawn_local(run_datagrams(Rc::clone(&state)));
     spawn_local(run_beats(Rc::clone(&state)));
     spawn_local(run_announcement(Rc::clone(&state)));
     spawn_local(run_sync(Rc::clone(&state)));
     spawn_local(run_queue(Rc::clone(&state)));
     spawn_local(run_prober(Rc::clone(&state)));
     spawn_local(run_reload(Rc::clone(&state), settings_file));
-    run_stop(state).await
+    run_stop(state, asked).await
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,5 +23,5 @@
 mod store_sync;
 
 pub use dialect::{HeaderDialect, WireDialect};
-pub use gateway::{GatewayParts, run_gateway};
+pub use gateway::{GatewayParts, run_gateway, run_gateway_until};
 pub use settings_file::{GatewaySettings, read_settings};
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -13,7 +13,6 @@
 use link::ConnectionChoice;
 use model::{Millis, StoreRevision};
 use smol_str::format_smolstr;
-use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -28,17 +27,11 @@
 /// Rows on servers in one datagram.
 const LOAD_ROWS_MAX: usize = 120;
 
-thread_local! {
-    static SOCKET: OnceCell<Rc<UdpSocket>> = const { OnceCell::new() };
-}
-
 /// Opens the socket for datagrams.
-pub(crate) fn open_socket(address: SocketAddr) -> anyhow::Result<Rc<UdpSocket>> {
+pub(crate) fn open_socket(address: SocketAddr) -> anyhow::Result<UdpSocket> {
     let socket = std::net::UdpSocket::bind(address).context("datagram socket")?;
     socket.set_nonblocking(true)?;
-    let socket = Rc::new(UdpSocket::from_std(socket)?);
-    SOCKET.with(|cell| cell.set(Rc::clone(&socket))).map_err(|_| anyhow!("opened twice"))?;
-    Ok(socket)
+    Ok(UdpSocket::from_std(socket)?)
 }
 
 fn send_to_all(state: &GatewayState, datagram: &PeerDatagram) {
@@ -58,15 +51,10 @@
         state.log.state("datagram_unsendable", "");
         return;
     };
-    SOCKET.with(|cell| {
-        let Some(socket) = cell.get() else {
-            return;
-        };
-        for target in targets {
-            // Datagrams may be lost anyway; the next one tells the same.
-            let _ = socket.try_send_to(&bytes, *target);
-        }
-    });
+    for target in targets {
+        // Datagrams may be lost anyway; the next one tells the same.
+        let _ = state.socket.try_send_to(&bytes, *target);
+    }
 }
 
 /// Passes changes on as they are seen. Long ones are only announced; the others fetch them.
@@ -107,10 +95,10 @@
 }
 
 /// Takes datagrams of other instances.
-pub(crate) async fn run_datagrams(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+pub(crate) async fn run_datagrams(state: Rc<GatewayState>) {
     let mut buffer = vec![0; 2 * DATAGRAM_MAX_BYTES];
     loop {
-        match socket.recv_from(&mut buffer).await {
+        match state.socket.recv_from(&mut buffer).await {
             Ok((length, from)) => take_datagram(&state, &buffer[..length], from),
             Err(cause) => {
                 state.log.state("datagram_failed", &format_smolstr!("{cause}"));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -81,9 +81,34 @@
     answer
 }
 
-/// The refusal of an instance that knows no configuration yet.
-pub(crate) fn no_config_answer() -> CallerAnswer {
-    own_answer(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", Some(NO_CONFIG_RETRY))
+/// Why a request was not accepted. It did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CallRejection {
+    pub status: StatusCode,
+    pub text: &'static str,
+    pub retry: Option<Millis>,
+}
+
+impl CallRejection {
+    /// A request that will not be accepted later either.
+    pub fn new(status: StatusCode, text: &'static str) -> Self {
+        Self { status, text, retry: None }
+    }
+
+    /// A request that may come back.
+    pub fn unavailable(text: &'static str, retry: Millis) -> Self {
+        Self { status: StatusCode::SERVICE_UNAVAILABLE, text, retry: Some(retry) }
+    }
+
+    /// The refusal of an instance that knows no configuration yet.
+    pub fn no_config() -> Self {
+        Self::unavailable("no configuration yet", NO_CONFIG_RETRY)
+    }
+
+    /// The answer to the caller.
+    pub fn answer(self) -> CallerAnswer {
+        own_answer(self.status, self.text, self.retry)
+    }
 }
 
 /// Serves a request.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use store::ReplicaStore;
+use tokio::net::UdpSocket;
 use tokio::sync::{Notify, oneshot};
 
 /// Most requests that wait for a slot.
@@ -50,6 +51,7 @@
     pub store: RefCell<Rc<dyn ReplicaStore>>,
     pub pool: LinkPool,
     pub peer_pool: LinkPool,
+    pub socket: UdpSocket,
     pub metrics: GatewayMetrics,
     pub log: DecisionLog,
     pub fleet: RefCell<FleetState>,
@@ -76,6 +78,7 @@
         decoder: GatewayDecoder,
         store: Rc<dyn ReplicaStore>,
         incarnation: IncarnationId,
+        socket: UdpSocket,
     ) -> Self {
         let pool = LinkPoolBuilder::default()
             .connect_timeout(CONNECT_TIMEOUT)
@@ -99,6 +102,7 @@
             store: RefCell::new(store),
             pool,
             peer_pool: LinkPoolBuilder::default().connect_timeout(CONNECT_TIMEOUT).build(),
+            socket,
             metrics: GatewayMetrics::default(),
             log,
             fleet: RefCell::new(FleetState::new(&settings, incarnation)),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -20,14 +20,23 @@
 /// Time between looks at the settings file.
 const FILE_TICK: Duration = Duration::from_millis(500);
 
-/// Waits for the request to stop, and returns when the process may end.
-pub(crate) async fn run_stop(state: Rc<GatewayState>) -> anyhow::Result<()> {
+/// Ends when the process is asked to stop.
+pub(crate) async fn wait_signal() -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    Ok(())
+}
+
+/// Waits for the request to stop, and returns when the process may end.
+pub(crate) async fn run_stop(
+    state: Rc<GatewayState>,
+    asked: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<()> {
+    asked.await?;
     let started = tokio::time::Instant::now();
     state.phase.set(RunPhase::Stopping);
     state.log.state("stopping", &format_smolstr!("{} connections", state.connections.get()));
