--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -138,11 +138,17 @@
 fn servers_that_all_shed_with_room_still_get_requests() {
     let specs = (0..4).map(|index| spec(index, "north")).collect();
     let mut queue = queue(specs);
+    // Others are served meanwhile, so that a slot is expected to come free soon.
+    sent(&mut queue, at(5), request(at(5), 1));
+    sent(&mut queue, at(5), request(at(5), 1));
     for round in 0..40 {
         let now = at(10 + round * 10);
         let (place, chosen) = sent(&mut queue, now, request(now, 1));
         queue.finish(now, place, &chosen, ExchangeOutcome::Shed);
-        queue.picture.record_report(now, &chosen, report(0, 1.0));
+        for index in 0..4 {
+            let own = queue.picture.server(&key(index)).expect("known").in_flight();
+            queue.picture.record_report(now, &key(index), report(own as u32, 1.0));
+        }
     }
 }
 
