--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! Servers and requests for the tests of this crate.
 
+#![allow(dead_code)] // Each test file uses a part.
+
 use balance::{
     BackendSpec, BudgetPolicy, ExpectedFinish, LoadReport, QueuePolicy, RequestQueue, RequestSpec,
     ServerKey,
--- a/crates/xtask/src/ci.rs
+++ b/crates/xtask/src/ci.rs
@@ -3,11 +3,29 @@
 use anyhow::{Context, Result, bail};
 use std::process::Command;
 
+/// Lists tests that fail for a fault that is not mended yet, one `test: NAME` line each.
+const KNOWN_RED: &str = "KNOWN-RED.txt";
+
 /// Runs all checks; the first that fails ends the run.
 pub fn run_ci() -> Result<()> {
     cargo(&["fmt", "--all", "--check"])?;
     cargo(&["clippy", "--workspace", "--all-targets", "--", "-D", "warnings"])?;
-    cargo(&["test", "--workspace"])
+    test_all()
+}
+
+/// Runs all tests but those that are known to fail, which it prints.
+fn test_all() -> Result<()> {
+    let text = match std::fs::read_to_string(KNOWN_RED) {
+        Ok(text) => text,
+        Err(cause) if cause.kind() == std::io::ErrorKind::NotFound => String::new(),
+        Err(cause) => return Err(cause).context(KNOWN_RED),
+    };
+    let mut arguments = vec!["test", "--workspace", "--"];
+    for test in text.lines().filter_map(|line| line.strip_prefix("test: ")) {
+        println!("known to fail, passed over: {test}");
+        arguments.extend(["--skip", test.trim()]);
+    }
+    cargo(&arguments)
 }
 
 /// Builds all programs with optimisation.
