Rank instances by their scarcest resource; take the first copy of the store from the seeds

Cause: at the grown size homes were chosen by processor alone, and each start made four calls to the store.

--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -41,7 +41,7 @@
     pub peer_address: SocketAddr,
     /// Where it takes datagrams of other instances.
     pub datagram_address: SocketAddr,
-    /// What it can carry, in thousandths of a core.
+    /// What it can carry, in requests a second.
     pub capacity: u32,
 }
 
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -30,7 +30,7 @@
     pub store_address: SocketAddr,
     /// Peer addresses of other instances, possibly out of date.
     pub seeds: Vec<SocketAddr>,
-    /// What it can carry, in thousandths of a core.
+    /// What it can carry, in requests a second.
     pub capacity: u32,
     /// Most open files and connections.
     pub descriptors: usize,
@@ -59,9 +59,10 @@
     let address = "an address like 10.0.0.1:8080";
     let name = reader.required("instance", "name", "a name");
     let data_centre = reader.required("instance", "data_centre", "a name");
-    let capacity = reader.with_default("instance", "cores", "a number of cores", 1.0_f64);
+    let cores = reader.with_default("instance", "cores", "a number of cores", 1.0_f64);
     let descriptors = reader.with_default("instance", "descriptors", "a number", 4_096);
-    let memory_mb = reader.with_default("instance", "memory_mb", "megabytes", 256);
+    let memory_mb = reader.with_default("instance", "memory_mb", "megabytes", 256_u64);
+    let link_mbps = reader.with_default("instance", "link_mbps", "megabits a second", 1_000.0_f64);
     let caller_address = reader.required("listen", "callers", address);
     let ready_address = reader.required("listen", "ready", address);
     let directory_address = reader.required("listen", "directory", address);
@@ -92,7 +93,7 @@
             metrics_address: metrics_address?,
             store_address: store_address?,
             seeds,
-            capacity: (capacity * 1000.0) as u32,
+            capacity: capacity_of(cores, link_mbps, memory_mb),
             descriptors,
             memory_mb,
             directory_keep: seconds(keep_s.min(keep_max_s)),
@@ -107,6 +108,22 @@
     built.ok_or_else(|| SettingsErrors(Vec::new()))
 }
 
+/// Requests a second that a core carries: 0.4 ms of processor each, measured, half of it kept free.
+const REQUESTS_PER_CORE: f64 = 1_250.0;
+/// Requests a second for a megabit a second of link: 20 KB cross it for a request with a body, and
+/// half of the link is kept free.
+const REQUESTS_PER_MBPS: f64 = 3.0;
+/// Requests a second for a megabyte of memory: most of it is taken by connections.
+const REQUESTS_PER_MB: f64 = 2.0;
+
+/// What a machine carries by its scarcest resource.
+fn capacity_of(cores: f64, link_mbps: f64, memory_mb: u64) -> u32 {
+    let by_core = cores * REQUESTS_PER_CORE;
+    let by_link = link_mbps * REQUESTS_PER_MBPS;
+    let by_memory = memory_mb as f64 * REQUESTS_PER_MB;
+    by_core.min(by_link).min(by_memory).max(1.0) as u32
+}
+
 fn seconds(value: f64) -> Millis {
     Duration::try_from_secs_f64(value).unwrap_or_default().into()
 }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -27,9 +27,17 @@
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_millis(800);
 /// How long the announcement of an instance outlives it.
-const LEASE_SPAN: Millis = Millis(15_000);
-/// Time between renewals of the announcement.
-const RENEW_SPAN: Duration = Duration::from_secs(5);
+const LEASE_SPAN: Millis = Millis(120_000);
+/// Time between renewals of the announcement; three fit its life.
+const RENEW_SPAN: Duration = Duration::from_secs(38);
+/// Time between looks at whether the announcement is still there.
+const LISTED_TICK: Duration = Duration::from_secs(2);
+/// Longest pause between tries to announce the instance.
+const ANNOUNCE_MAX: Duration = Duration::from_secs(4);
+/// How long a start waits for a copy of the store from a seed before it reads the store itself.
+const SEED_PATIENCE: Duration = Duration::from_millis(700);
+/// Pause between questions to the seeds.
+const SEED_TICK: Duration = Duration::from_millis(100);
 /// Pause after the first read, in which other instances that start at the same time announce
 /// themselves.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -42,13 +50,7 @@
 /// Follows the store until the process ends.
 pub(crate) async fn run_sync(state: Rc<GatewayState>) {
     let mut pause = RETRY_FIRST;
-    let mut needs_read = match read_store(&state).await {
-        Ok(()) => false,
-        Err(cause) => {
-            note_failure(&state, &cause);
-            true
-        }
-    };
+    let mut needs_read = !first_copy(&state).await;
     let spread = Duration::from_millis(rand::rng().random_range(0..FIRST_SPREAD_MS));
     tokio::time::sleep(FIRST_PAUSE + spread).await;
     loop {
@@ -81,6 +83,28 @@
     }
 }
 
+/// Gets the first copy of the store: the seeds read it, the others ask the seeds. Gives whether there
+/// is one.
+async fn first_copy(state: &Rc<GatewayState>) -> bool {
+    let settings = state.settings();
+    let is_seed = settings.seeds.contains(&settings.peer_address) || settings.seeds.is_empty();
+    let until = state.now().after(SEED_PATIENCE);
+    while !is_seed && state.now() < until {
+        catch_up(state).await;
+        if state.fleet_ref().replica.as_of() > StoreRevision(0) {
+            return true;
+        }
+        tokio::time::sleep(SEED_TICK).await;
+    }
+    match read_store(state).await {
+        Ok(()) => true,
+        Err(cause) => {
+            note_failure(state, &cause);
+            false
+        }
+    }
+}
+
 fn duty(state: &Rc<GatewayState>) -> WatchDuty {
     refresh_fleet(state);
     let now = state.now();
@@ -387,19 +411,13 @@
         };
         match result {
             Ok(held) => {
-                lease = held;
                 pause = RETRY_FIRST;
-                if lease.is_some() {
-                    tokio::time::sleep(RENEW_SPAN).await;
-                }
-                if lease.is_some() && is_unlisted(&state) {
-                    lease = None;
-                }
+                lease = if held.is_some() && stays_listed(&state).await { held } else { None };
             }
             Err(_) => {
                 let wait = pause.mul_f64(rand::rng().random_range(0.7..1.3));
                 tokio::time::sleep(wait).await;
-                pause = (pause * 2).min(RENEW_SPAN);
+                pause = (pause * 2).min(ANNOUNCE_MAX);
             }
         }
     }
@@ -410,11 +428,24 @@
     }
 }
 
+/// Ends when the announcement is to be renewed, or is gone, or the process stops. Gives whether it is
+/// still there.
+async fn stays_listed(state: &GatewayState) -> bool {
+    let until = state.now().after(RENEW_SPAN);
+    while state.now() < until && !state.is_stopping() {
+        tokio::time::sleep(LISTED_TICK).await;
+        if is_unlisted(state) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Whether the store no longer has the announcement, as far as is known here.
 fn is_unlisted(state: &GatewayState) -> bool {
     let key = state.dialect.member_key(state.settings().name.as_str());
     let fleet = state.fleet_ref();
-    let is_current = fleet.confirmed_age(state.now()) < RENEW_SPAN / 2;
+    let is_current = fleet.confirmed_age(state.now()) < LISTED_TICK;
     is_current && !fleet.replica.items().any(|(known, _)| *known == key)
 }
 
