Do not wait past servers of usual pace; ask seeds for the first copy only at the first start

Cause: long work was expected to take longer than usual on any server, so at the grown size bookings waited although servers were free. The first copy from the seeds made restarts slower, which the worst windows showed. Ruled out: comparing with the expected span at a usual server in all cases (no difference on the small sites).

--- a/crates/balance/src/placing.rs
+++ b/crates/balance/src/placing.rs
@@ -17,6 +17,11 @@
 const UNTRIED_BONUS: Duration = Duration::from_millis(150);
 /// How much longer work takes at a server whose slots are all taken than at an idle one.
 const CROWDING: f64 = 0.15;
+/// How much longer than at a server of usual pace a request may take before it rather waits for one.
+const PATIENCE_FACTOR: f64 = 1.3;
+/// Pace up to which a server counts as usual, and how fresh the report must be for that.
+const USUAL_PACE: f64 = 1.5;
+const USUAL_WEIGHT: f64 = 0.6;
 /// Random addition that breaks ties, as a part of the cost.
 const TIE_SPREAD: f64 = 0.04;
 
@@ -135,9 +140,13 @@
         }
         let work = inputs.work.as_secs_f64();
         let turn = work / busy.max(1.0) * (inputs.ahead as f64 + 1.0);
+        let worth_waiting_for = turn + work * PATIENCE_FACTOR;
         match best {
             Some((state, _, span))
-                if inputs.may_crowd || span <= turn + work * 1.3 || busy < 1.0 =>
+                if inputs.may_crowd
+                    || span <= worth_waiting_for
+                    || busy < 1.0
+                    || is_usual(state, now) =>
             {
                 PlacingVerdict::Send(state.spec.key.clone(), Duration::from_secs_f64(span))
             }
@@ -146,6 +155,12 @@
     }
 }
 
+/// Whether a server works at its usual pace, by a report that still holds.
+fn is_usual(state: &BackendState, now: MonoTime) -> bool {
+    let (pace, weight) = state.pace(now);
+    pace <= USUAL_PACE && weight >= USUAL_WEIGHT
+}
+
 fn no_candidate(inputs: &PlacingInputs<'_>) -> PlacingVerdict {
     let avoid = inputs.avoid;
     let mut hopeful = inputs
--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -161,3 +161,23 @@
     assert_eq!(busy, 2);
     assert_eq!(queue.picture.servers_of(&service()).count(), 1);
 }
+
+/// Cause traced: work longer than a server keeps its pace was expected to take longer than usual on
+/// any server, so it waited although servers were free.
+#[test]
+fn long_work_does_not_wait_while_servers_of_usual_pace_are_free() {
+    let specs = (0..4).map(|index| spec(index, "north")).collect();
+    let mut queue = queue(specs);
+    for _ in 0..200 {
+        queue.work.record(&"r".into(), std::time::Duration::from_millis(450));
+    }
+    // Some servers are slow, so the mean pace is far from usual.
+    for _ in 0..200 {
+        queue.picture.record_report(at(1), &key(3), report(0, 7.0));
+    }
+    for round in 0..6 {
+        let now = at(2 + round);
+        let (_, chosen) = sent(&mut queue, now, request(now, 1));
+        assert_ne!(chosen, key(3));
+    }
+}
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -83,13 +83,15 @@
     }
 }
 
-/// Gets the first copy of the store: the seeds read it, the others ask the seeds. Gives whether there
-/// is one.
+/// Gets the first copy of the store. When the whole fleet starts for the first time, the seeds read it
+/// and the others ask the seeds, since nobody waits yet and each call is priced. Gives whether there
+/// is a copy.
 async fn first_copy(state: &Rc<GatewayState>) -> bool {
     let settings = state.settings();
     let is_seed = settings.seeds.contains(&settings.peer_address) || settings.seeds.is_empty();
+    let asks_seeds = settings.is_first_start && !is_seed;
     let until = state.now().after(SEED_PATIENCE);
-    while !is_seed && state.now() < until {
+    while asks_seeds && state.now() < until {
         catch_up(state).await;
         if state.fleet_ref().replica.as_of() > StoreRevision(0) {
             return true;
