--- a/crates/balance/src/placing.rs
+++ b/crates/balance/src/placing.rs
@@ -42,8 +42,9 @@
     pub avoid: &'a [ServerKey],
     /// Requests of the service that go first.
     pub ahead: usize,
-    /// Whether a server without a free slot may get it.
-    pub may_crowd: bool,
+    /// The time left if the request is late anyway: it then takes any free slot in which it can still
+    /// end, since slots of slow servers would stay idle. None while waiting may pay.
+    pub settles_within: Option<Duration>,
 }
 
 /// The decision.
@@ -130,7 +131,7 @@
             let (pace, weight) = state.pace(now);
             let fast = pace * weight + inputs.picture.mean_pace() * (1.0 - weight);
             busy += f64::from(state.occupancy(now).min(state.spec.slots.0)) / fast.max(1.0);
-            if !inputs.may_crowd && !is_free(state) {
+            if !is_free(state) {
                 continue;
             }
             let (cost, span) = self.cost(inputs, state);
@@ -143,8 +144,8 @@
         let worth_waiting_for = turn + work * PATIENCE_FACTOR;
         match best {
             Some((state, _, span))
-                if inputs.may_crowd
-                    || span <= worth_waiting_for
+                if span <= worth_waiting_for
+                    || settles(inputs, span)
                     || busy < 1.0
                     || is_usual(state, now) =>
             {
@@ -155,6 +156,10 @@
     }
 }
 
+fn settles(inputs: &PlacingInputs<'_>, span: f64) -> bool {
+    inputs.settles_within.is_some_and(|left| span <= left.as_secs_f64())
+}
+
 /// Whether a server works at its usual pace, by a report that still holds.
 fn is_usual(state: &BackendState, now: MonoTime) -> bool {
     let (pace, weight) = state.pace(now);
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -243,6 +243,11 @@
             .map_or(0, |queue| queue.range(..(spec.priority, spec.arrived, u64::MAX)).count())
     }
 
+    /// Whether a request would miss its objective even if it were sent now.
+    fn is_late(&self, now: MonoTime, spec: &RequestSpec) -> bool {
+        now.after(self.work.work_of(&spec.route)) > spec.objective
+    }
+
     fn place(&mut self, now: MonoTime, spec: &RequestSpec, ahead: usize) -> PlacingVerdict {
         let inputs = PlacingInputs {
             picture: &self.picture,
@@ -252,7 +257,7 @@
             work: self.work.work_of(&spec.route),
             avoid: &spec.avoid,
             ahead,
-            may_crowd: false,
+            settles_within: self.is_late(now, spec).then(|| spec.deadline.since(now)),
         };
         self.rule.place(&inputs)
     }
@@ -325,11 +330,8 @@
         let mut is_blocked = false;
         let orders: Vec<OrderKey> = queue.keys().copied().collect();
         let mut ahead = 0;
-        let is_late = |order: &OrderKey| {
-            let spec = &queue[order].spec;
-            now.after(self.work.work_of(&spec.route)) > spec.objective
-        };
-        let (late, timely): (Vec<_>, Vec<_>) = orders.into_iter().partition(is_late);
+        let (late, timely): (Vec<_>, Vec<_>) =
+            orders.into_iter().partition(|order| self.is_late(now, &queue[order].spec));
         for order in timely.into_iter().chain(late) {
             let request = &queue[&order];
             let work = self.work.work_of(&request.spec.route);
--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -181,3 +181,26 @@
         assert_ne!(chosen, key(3));
     }
 }
+
+/// Cause traced (incident): late requests waited until their time was over while slots of slow servers
+/// stayed idle.
+#[test]
+fn a_late_request_takes_a_free_slot_of_a_slow_server() {
+    let mut queue = queue(vec![spec(0, "north"), spec(1, "north")]);
+    for _ in 0..2 {
+        queue.picture.record_report(at(1), &key(1), report(0, 7.0));
+        let (_, chosen) = sent(&mut queue, at(1), request(at(1), 1));
+        assert_eq!(chosen, key(0));
+    }
+    let place = waits(&mut queue, at(2), request(at(2), 1));
+    queue.picture.record_report(at(300), &key(0), report(2, 1.0));
+    queue.picture.record_report(at(300), &key(1), report(0, 7.0));
+    assert!(queue.advance(at(300)).is_empty());
+    queue.picture.record_report(at(500), &key(0), report(2, 1.0));
+    queue.picture.record_report(at(500), &key(1), report(0, 7.0));
+    let decided = queue.advance(at(500));
+    assert!(matches!(
+        &decided[..],
+        [(sent, QueueDecision::Send(placement))] if *sent == place && placement.key == key(1)
+    ));
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -12,7 +12,7 @@
 /// Time before the end at which connections are closed.
 const CLOSE_MARGIN: Duration = Duration::from_millis(900);
 /// Time before the end at which the process leaves.
-const EXIT_MARGIN: Duration = Duration::from_millis(250);
+const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Shortest time in which callers may still come with addresses that they kept.
 const KEPT_FACTOR: u32 = 3;
 /// Time between looks at whether connections are left.
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -222,17 +222,19 @@
         }
         None => return,
     };
+    let mut failure = None;
     for source in sources {
         match pull_changes(state, source, after).await {
             Ok(answer) => {
                 take_answer(state, answer);
                 return;
             }
-            Err(cause) => {
-                state.log.state("pull_failed", &format_smolstr!("{source}: {cause}"));
-            }
+            Err(cause) => failure = Some(format_smolstr!("{source}: {cause}")),
         }
     }
+    if let Some(failure) = failure {
+        state.log.state("pull_failed", &failure);
+    }
 }
 
 fn take_answer(state: &Rc<GatewayState>, answer: fleet::PullAnswer) {
