--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -37,6 +37,7 @@
     state: Rc<GatewayState>,
     request: Request<Incoming>,
 ) -> CallerAnswer {
+    let id = request.headers().get(&state.dialect.headers().request_id).cloned();
     let mut answer = match accept_call(&state, request).await {
         Ok((routed, bytes)) => {
             let answer = serve_routed(&state, routed).await;
@@ -45,7 +46,9 @@
         }
         Err(rejection) => {
             state.metrics.rejected(rejection.status.as_u16());
-            state.log.rejection(rejection.status.as_u16(), rejection.text);
+            let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+            let version = state.fleet_ref().version;
+            state.log.rejection(id, rejection.status.as_u16(), rejection.text, version);
             rejection.answer()
         }
     };
@@ -121,7 +124,7 @@
         route: route.name.clone(),
         deadline,
     };
-    Ok((RoutedCall { call, route, service, arrived }, bytes))
+    Ok((RoutedCall { call, route, service, arrived, version: table.version }, bytes))
 }
 
 async fn read_body(
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -4,7 +4,7 @@
 //! ordinary ones, and what was left out is counted. A thread writes, so that a reader that stalls
 //! never blocks a request; lines are dropped and counted then.
 
-use model::InstanceName;
+use model::{ConfigVersion, InstanceName};
 use serde::Serialize;
 use smol_str::SmolStr;
 use std::cell::RefCell;
@@ -36,6 +36,10 @@
     pub waited: Duration,
     pub span: Duration,
     pub left: Duration,
+    /// The configuration that selected the route.
+    pub version: ConfigVersion,
+    /// The last exchange, if there was one.
+    pub last: Option<&'a AttemptLine>,
 }
 
 /// One exchange with a backend server and what had decided for that server.
@@ -65,6 +69,15 @@
     waited_ms: u128,
     took_ms: u128,
     left_ms: u128,
+    config: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    server: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    server_had: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pace: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    report_age_ms: Option<u128>,
 }
 
 #[derive(Serialize)]
@@ -87,8 +100,10 @@
     at: f64,
     on: &'a str,
     event: &'a str,
+    request: &'a str,
     status: u16,
     cause: &'a str,
+    config: u64,
 }
 
 #[derive(Serialize)]
@@ -160,6 +175,11 @@
             waited_ms: line.waited.as_millis(),
             took_ms: line.span.as_millis(),
             left_ms: line.left.as_millis(),
+            config: line.version.0,
+            server: line.last.map(|last| last.server.as_str()),
+            server_had: line.last.map(|last| last.occupancy),
+            pace: line.last.map(|last| last.pace),
+            report_age_ms: line.last.and_then(|last| last.report_age).map(|age| age.as_millis()),
         });
     }
 
@@ -184,12 +204,19 @@
     }
 
     /// Logs a request that was not accepted.
-    pub fn rejection(&self, status: u16, text: &str) {
+    pub fn rejection(&self, request: &str, status: u16, cause: &str, version: ConfigVersion) {
         if !self.admit_request(true) {
             return;
         }
-        let (at, on) = (wall_clock(), self.name.as_str());
-        self.write(&RejectionEntry { at, on, event: "rejected", status, cause: text });
+        self.write(&RejectionEntry {
+            at: wall_clock(),
+            on: self.name.as_str(),
+            event: "rejected",
+            request,
+            status,
+            cause,
+            config: version.0,
+        });
     }
 
     /// Logs a change of state.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
-use model::{Millis, MonoTime, ServiceName};
+use model::{ConfigVersion, Millis, MonoTime, ServiceName};
 use routing::{RepeatKind, RouteEntry};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
@@ -39,6 +39,8 @@
     pub route: Rc<RouteEntry>,
     pub service: ServiceName,
     pub arrived: MonoTime,
+    /// The configuration that selected the route.
+    pub version: ConfigVersion,
 }
 
 /// What is known of the attempts so far.
@@ -54,6 +56,7 @@
     cause: SmolStr,
     copies: u32,
     waited: Duration,
+    last: Option<AttemptLine>,
 }
 
 struct FlightEnd {
@@ -142,6 +145,8 @@
         waited: ledger.waited,
         span,
         left: routed.call.deadline.since(state.now()),
+        version: routed.version,
+        last: ledger.last.as_ref(),
     });
 }
 
@@ -290,6 +295,7 @@
         let request = routed.call.request_id.to_str().unwrap_or("-");
         state.log.attempt(request, &ended.line, &describe(&ended.end));
     }
+    ledger.last = Some(ended.line);
     match ended.end {
         ExchangeEnd::Answered(answer) => {
             let retries_failure =
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -67,15 +67,20 @@
 pub(crate) async fn run_reload(state: Rc<GatewayState>, file: PathBuf) -> anyhow::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
     let mut known = std::fs::read_to_string(&file).unwrap_or_default();
+    let mut is_readable = true;
     loop {
         let was_told = wait_change(&mut hangup).await;
         let text = match std::fs::read_to_string(&file) {
             Ok(text) => text,
             Err(cause) => {
-                state.log.state("settings_unreadable", &format_smolstr!("{cause}"));
+                if is_readable || was_told {
+                    state.log.state("settings_unreadable", &format_smolstr!("{cause}"));
+                }
+                is_readable = false;
                 continue;
             }
         };
+        is_readable = true;
         if text == known {
             if was_told {
                 state.log.state("reload", "no change");
