--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -20,11 +20,11 @@
 /// Part of the retry budget that second copies leave for requests that failed.
 const COPY_RESERVE: f64 = 0.4;
 /// A copy is considered when an exchange takes this many times longer than expected.
-const COPY_FACTOR: f64 = 1.5;
+const COPY_FACTOR: f64 = 1.15;
 /// Shortest time after which a copy is considered.
-const COPY_MIN: Duration = Duration::from_millis(40);
+const COPY_MIN: Duration = Duration::from_millis(25);
 /// Time between looks at an exchange that takes long.
-const COPY_TICK: Duration = Duration::from_millis(40);
+const COPY_TICK: Duration = Duration::from_millis(25);
 /// Tries that end before the request reached a server, for one attempt of a caller.
 const UNREACHED_MAX: u32 = 4;
 /// When a caller may come back to an instance that has no configuration.
