Send the record of an instance with every tenth heartbeat only

Cause: at the grown size heartbeats with whole records were the largest part of the bytes between data centres.

--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -2,7 +2,7 @@
 
 use crate::record::MemberRecord;
 use crate::replica::StoreChange;
-use model::{ConfigVersion, IncarnationId, Millis, ServerName, StoreRevision};
+use model::{ConfigVersion, IncarnationId, InstanceName, Millis, ServerName, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 /// Longest datagram, in bytes; fits one Ethernet frame.
@@ -12,7 +12,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BeatMessage {
     /// The sender.
-    pub member: MemberRecord,
+    pub name: InstanceName,
+    /// Its run.
+    pub incarnation: IncarnationId,
+    /// Its record, now and then, for instances that do not have it from the store.
+    pub record: Option<MemberRecord>,
     /// Whether callers may be sent to it.
     pub is_ready: bool,
     /// Whether its own calls to the store fail at present.
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -84,23 +84,28 @@
         self.members.retain(|_, state| state.is_listed || state.heard.is_some());
     }
 
-    /// Takes note of a heartbeat. Gives whether the sender was unknown or had counted as silent.
+    /// Takes note of a heartbeat. Gives whether the sender was unknown or had counted as silent. One
+    /// of a run that is not known and brings no record is passed over.
     pub fn record_beat(&mut self, now: MonoTime, beat: BeatMessage) -> bool {
-        if beat.member.name == self.this.name {
+        if beat.name == self.this.name {
             return false;
         }
-        let name = beat.member.name.clone();
-        let state = self.members.entry(name).or_insert_with(|| MemberState {
-            record: beat.member.clone(),
-            is_listed: false,
-            heard: None,
-            expected_since: None,
-        });
-        if beat.member.incarnation < state.record.incarnation {
+        let known = self.members.get(&beat.name).map(|state| state.record.incarnation);
+        if known.is_some_and(|known| known > beat.incarnation) {
             return false;
         }
+        if known != Some(beat.incarnation) {
+            let Some(record) = beat.record.clone() else {
+                return false;
+            };
+            let is_listed = self.members.get(&beat.name).is_some_and(|state| state.is_listed);
+            let state = MemberState { record, is_listed, heard: None, expected_since: None };
+            self.members.insert(beat.name.clone(), state);
+        }
+        let Some(state) = self.members.get_mut(&beat.name) else {
+            return false;
+        };
         let was_silent = state.heard.as_ref().is_none_or(|(at, _)| now.since(*at) > SILENCE_SPAN);
-        state.record = beat.member.clone();
         state.heard = Some((now, beat));
         was_silent
     }
@@ -159,13 +164,15 @@
         }
     }
 
-    /// The latest heartbeats that are not too old, with their time.
-    pub fn recent_beats(&self, now: MonoTime) -> impl Iterator<Item = (MonoTime, &BeatMessage)> {
-        self.members
-            .values()
-            .filter_map(|state| state.heard.as_ref())
-            .filter(move |(at, _)| now.since(*at) <= SILENCE_SPAN)
-            .map(|(at, beat)| (*at, beat))
+    /// The latest heartbeats that are not too old, with the records of their senders.
+    pub fn recent_beats(
+        &self,
+        now: MonoTime,
+    ) -> impl Iterator<Item = (&MemberRecord, &BeatMessage)> {
+        self.members.values().filter_map(move |state| {
+            let (at, beat) = state.heard.as_ref()?;
+            (now.since(*at) <= SILENCE_SPAN).then_some((&state.record, beat))
+        })
     }
 
     /// Records of all other instances that are known.
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -26,7 +26,9 @@
 
 fn beat(member: MemberRecord, is_ready: bool) -> BeatMessage {
     BeatMessage {
-        member,
+        name: member.name.clone(),
+        incarnation: member.incarnation,
+        record: Some(member),
         is_ready,
         store_lost: false,
         as_of: StoreRevision(1),
@@ -114,6 +116,16 @@
     assert!(table.views(at(6)).iter().any(|v| v.record.name == record(3).name && v.is_usable));
 }
 
+#[test]
+fn a_heartbeat_without_record_counts_only_for_a_known_run() {
+    let mut table = table();
+    let unknown = MemberRecord { name: "m99".parse().expect("name"), ..record(3) };
+    table.record_beat(at(0), BeatMessage { record: None, ..beat(unknown, true) });
+    assert!(!table.views(at(1)).iter().any(|view| view.record.name.as_str() == "m99"));
+    table.record_beat(at(2), BeatMessage { record: None, ..beat(record(3), false) });
+    assert!(table.views(at(3)).iter().any(|v| v.record.name == record(3).name && !v.is_usable));
+}
+
 #[test]
 fn all_but_this_one_lost_leaves_this_one() {
     let mut table = table();
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -130,10 +130,13 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
-    /// The heartbeat of this instance.
-    pub fn beat(&self, now: MonoTime) -> BeatMessage {
+    /// The heartbeat of this instance, with its record or without.
+    pub fn beat(&self, now: MonoTime, with_record: bool) -> BeatMessage {
+        let this = self.members.this();
         BeatMessage {
-            member: self.members.this().clone(),
+            name: this.name.clone(),
+            incarnation: this.incarnation,
+            record: with_record.then(|| this.clone()),
             is_ready: self.members.is_ready(),
             store_lost: self.store_lost,
             as_of: self.replica.as_of(),
@@ -149,7 +152,7 @@
         let mut heard = self
             .members
             .recent_beats(now)
-            .filter(|(_, beat)| names.contains(&&beat.member.name))
+            .filter(|(_, beat)| names.contains(&&beat.name))
             .peekable();
         heard.peek().is_some() && heard.all(|(_, beat)| beat.store_lost)
     }
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -20,6 +20,8 @@
 
 /// Time between heartbeats.
 const BEAT_SPAN: Duration = Duration::from_millis(300);
+/// Heartbeats of which one brings the sender's record.
+const RECORD_TURN: u32 = 10;
 /// How long another instance may take to answer.
 const PULL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Path on which an instance tells what changed after a revision.
@@ -69,26 +71,28 @@
         .map(|change| change.key.len() + change.value.as_ref().map_or(0, |value| value.len()) + 16)
         .sum();
     if size + 64 > DATAGRAM_MAX_BYTES {
-        send_beat(state);
+        send_beat(state, false);
         return;
     }
     let batch = ChangeBatch { after, as_of, confirmed_age: Millis(0), changes };
     send_to_all(state, &PeerDatagram::Changes(batch));
 }
 
-fn send_beat(state: &GatewayState) {
-    let beat = state.fleet_ref().beat(state.now());
+fn send_beat(state: &GatewayState, with_record: bool) {
+    let beat = state.fleet_ref().beat(state.now(), with_record);
     send_to_all(state, &PeerDatagram::Beat(beat));
 }
 
 /// Sends heartbeats.
 pub(crate) async fn run_beats(state: Rc<GatewayState>) {
+    let mut sent = 0_u32;
     loop {
         let was_woken = tokio::time::timeout(BEAT_SPAN, state.beat.notified()).await.is_ok();
         refresh_fleet(&state);
         let is_sender = state.fleet_ref().is_sender();
         if was_woken || is_sender {
-            send_beat(&state);
+            send_beat(&state, was_woken || sent.is_multiple_of(RECORD_TURN));
+            sent = sent.wrapping_add(1);
         }
         state.log.flush();
     }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -210,7 +210,7 @@
             .recent_beats(now)
             .filter(|(_, beat)| beat.as_of > after)
             .max_by_key(|(_, beat)| beat.as_of)
-            .map(|(_, beat)| beat.member.peer_address);
+            .map(|(record, _)| record.peer_address);
         (after, newest)
     };
     let seeds = state.settings().seeds.clone();
