--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -11,7 +11,7 @@
 mod work;
 
 pub use budget::{BudgetPolicy, RetryWindow};
-pub use picture::{BackendSpec, BackendState, ExchangeOutcome, LoadPicture, LoadReport, ServerKey};
+pub use picture::{BackendState, ExchangeOutcome, LoadPicture, LoadReport};
 pub use placing::{BlindRule, ExpectedFinish, PlacingInputs, PlacingRule, PlacingVerdict};
 pub use queue::{
     Placement, QueueDecision, QueuePolicy, RequestPlace, RequestQueue, RequestSpec, TurnAway,
--- a/crates/balance/src/picture.rs
+++ b/crates/balance/src/picture.rs
@@ -1,8 +1,7 @@
 //! The load picture: what this instance believes of each backend server, and how old that is.
 
-use model::{DataCentre, IncarnationId, Millis, MonoTime, ServerName, ServiceName, SlotCount};
+use model::{BackendSpec, MonoTime, ServerKey, ServiceName};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time in which knowledge of a server's pace fades to the mean of all servers. The pace changes
@@ -29,34 +28,6 @@
 /// only.
 const STRAY_SPAN: Duration = Duration::from_secs(10);
 
-/// Identifies one run of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct ServerKey {
-    /// Its id.
-    pub name: ServerName,
-    /// Its run.
-    pub incarnation: IncarnationId,
-}
-
-/// A backend server as the store tells it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BackendSpec {
-    /// Which run of which server.
-    pub key: ServerKey,
-    /// Its service.
-    pub service: ServiceName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// Requests that it works on at once.
-    pub slots: SlotCount,
-    /// Whether it takes no more work.
-    pub is_leaving: bool,
-    /// How much longer it is slow after its start.
-    pub warm_up_left: Millis,
-}
-
 /// What a backend server says of its load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadReport {
--- a/crates/balance/src/placing.rs
+++ b/crates/balance/src/placing.rs
@@ -1,7 +1,7 @@
 //! Which backend server gets a request, or whether it waits for a better one.
 
-use crate::picture::{BackendState, LoadPicture, ServerKey};
-use model::{DataCentre, MonoTime, ServiceName};
+use crate::picture::{BackendState, LoadPicture};
+use model::{DataCentre, MonoTime, ServerKey, ServiceName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -6,10 +6,10 @@
 //! request that probably can't be answered in time is turned away at once.
 
 use crate::budget::{BudgetPolicy, RetryWindow};
-use crate::picture::{ExchangeOutcome, LoadPicture, ServerKey};
+use crate::picture::{ExchangeOutcome, LoadPicture};
 use crate::placing::{PlacingInputs, PlacingRule, PlacingVerdict};
 use crate::work::WorkMemory;
-use model::{DataCentre, Millis, MonoTime, ServiceName};
+use model::{DataCentre, Millis, MonoTime, ServerKey, ServiceName};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -3,10 +3,9 @@
 mod support;
 
 use balance::{
-    ExchangeOutcome, QueueDecision, RequestPlace, RequestQueue, RequestSpec, ServerKey,
-    TurnAwayCause,
+    ExchangeOutcome, QueueDecision, RequestPlace, RequestQueue, RequestSpec, TurnAwayCause,
 };
-use model::MonoTime;
+use model::{MonoTime, ServerKey};
 use support::{at, key, queue, report, request, service, spec};
 use testkit::cases;
 
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -2,11 +2,8 @@
 
 #![allow(dead_code)] // Each test file uses a part.
 
-use balance::{
-    BackendSpec, BudgetPolicy, ExpectedFinish, LoadReport, QueuePolicy, RequestQueue, RequestSpec,
-    ServerKey,
-};
-use model::{IncarnationId, Millis, MonoTime, ServiceName, SlotCount};
+use balance::{BudgetPolicy, ExpectedFinish, LoadReport, QueuePolicy, RequestQueue, RequestSpec};
+use model::{BackendSpec, IncarnationId, Millis, MonoTime, ServerKey, ServiceName, SlotCount};
 use std::time::Duration;
 
 /// The service of all servers.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,6 @@
 };
 pub use home::{HomePolicy, choose_homes, choose_scouts, rank_members};
 pub use member::{MemberTable, MemberView};
-pub use record::{MemberRecord, RecordDecoder, ServerRecord, StoreRecord};
+pub use record::{MemberRecord, RecordDecoder, StoreRecord};
 pub use replica::{ReplicaGap, StoreChange, StoreReplica};
 pub use watch::{WatchDuty, WatchInputs, watch_duty};
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,31 +1,10 @@
 //! Records that the store holds, as the project reads them.
 
-use model::{DataCentre, IncarnationId, InstanceName, Millis, ServerName, ServiceName, SlotCount};
+use model::{BackendSpec, DataCentre, IncarnationId, InstanceName};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 
-/// A backend server as it announced itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ServerRecord {
-    /// Its id; a restarted server mostly has a new one.
-    pub name: ServerName,
-    /// The run of the server that wrote the record.
-    pub incarnation: IncarnationId,
-    /// The service that it runs.
-    pub service: ServiceName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// Requests that it works on at once.
-    pub slots: SlotCount,
-    /// Whether it finishes its work and takes no more.
-    pub is_leaving: bool,
-    /// How much longer it is slow after its start, from when the record was written.
-    pub warm_up_left: Millis,
-}
-
 /// An entry instance as it announced itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
@@ -51,7 +30,7 @@
     /// The configuration.
     Config(C),
     /// A backend server.
-    Server(ServerRecord),
+    Server(BackendSpec),
     /// An entry instance.
     Member(MemberRecord),
     /// A key that the project does not read.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,13 +2,13 @@
 
 use crate::slots::SlotHold;
 use crate::state::GatewayState;
-use balance::{ExchangeOutcome, LoadReport, ServerKey};
+use balance::{ExchangeOutcome, LoadReport};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use link::{ConnectionChoice, LinkError, SendProof};
-use model::MonoTime;
+use model::{MonoTime, ServerKey};
 use routing::RepeatKind;
 use smol_str::{SmolStr, ToSmolStr};
 use std::rc::Rc;
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -3,11 +3,8 @@
 
 use crate::peer_port::{pull_changes, send_changes};
 use crate::state::GatewayState;
-use balance::{BackendSpec, ServerKey};
-use fleet::{
-    MemberRecord, ServerRecord, StoreChange, StoreRecord, WatchDuty, WatchInputs, watch_duty,
-};
-use model::{Millis, MonoTime, StoreRevision};
+use fleet::{MemberRecord, StoreChange, StoreRecord, WatchDuty, WatchInputs, watch_duty};
+use model::{BackendSpec, Millis, MonoTime, StoreRevision};
 use rand::RngExt;
 use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
@@ -283,7 +280,7 @@
             StoreRecord::Server(server) => {
                 let detail = format_smolstr!(
                     "{} of {} at {} leaving {} revision {}",
-                    server.name,
+                    server.key.name,
                     server.service,
                     server.address,
                     server.is_leaving,
@@ -325,7 +322,7 @@
     let (mut specs, mut members) = (Vec::new(), Vec::new());
     for (key, value) in state.fleet_ref().replica.items() {
         match state.decoder.decode(key, value) {
-            StoreRecord::Server(server) => specs.push(spec_of(server)),
+            StoreRecord::Server(server) => specs.push(server),
             StoreRecord::Member(member) => members.push(member),
             _ => {}
         }
@@ -364,18 +361,6 @@
     });
 }
 
-fn spec_of(server: ServerRecord) -> BackendSpec {
-    BackendSpec {
-        key: ServerKey { name: server.name, incarnation: server.incarnation },
-        service: server.service,
-        address: server.address,
-        data_centre: server.data_centre,
-        slots: server.slots,
-        is_leaving: server.is_leaving,
-        warm_up_left: server.warm_up_left,
-    }
-}
-
 /// Part of the shared extra retries for all instances that are no homes.
 const OTHERS_PART: f64 = 0.2;
 
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -182,6 +182,11 @@
     assert_eq!(work(&instance, "ok", "id-1").status, 200);
     let metrics = call(instance.metrics, "GET", "/metrics", "m");
     assert!(metrics.body.contains("lacewing_request_seconds"), "{}", metrics.body);
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    for line in metrics.body.lines().filter(|line| line.starts_with("# HELP ")) {
+        let name = line.split(' ').nth(2).expect("a name");
+        assert!(page.contains(&format!("| `{name}` |")), "{name} is not on the page");
+    }
     wait_until("the directory names the instance", || {
         let answer = call(instance.directory, "GET", "/where?name=shop.example", "d");
         answer.body == instance.callers.to_string()
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -5,10 +5,12 @@
 use crate::support::memory_store::{InstanceStore, MemoryStore};
 use balance::LoadReport;
 use bytes::Bytes;
-use fleet::{RecordDecoder, ServerRecord, StoreRecord};
+use fleet::{RecordDecoder, StoreRecord};
 use gateway::{GatewayParts, HeaderDialect, WireDialect, read_settings, run_gateway_until};
 use http::HeaderName;
-use model::{ConfigVersion, ConnectionCount, IncarnationId, Millis, SlotCount};
+use model::{
+    BackendSpec, ConfigVersion, ConnectionCount, IncarnationId, Millis, ServerKey, SlotCount,
+};
 use routing::{
     RepeatKind, RequestLimits, RouteBuilder, RouteTable, RouteTarget, ServiceEntry, TableBuilder,
 };
@@ -93,9 +95,8 @@
         let (Ok(name), Ok(address)) = (name.parse(), address.parse()) else {
             return StoreRecord::Malformed("server".into());
         };
-        StoreRecord::Server(ServerRecord {
-            name,
-            incarnation: IncarnationId(1),
+        StoreRecord::Server(BackendSpec {
+            key: ServerKey { name, incarnation: IncarnationId(1) },
             service: "orders".parse().expect("name"),
             address,
             data_centre: "north".parse().expect("name"),
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! This crate does no I/O and knows no library but serde and smol_str.
 
+pub mod backend;
 pub mod document;
 pub mod fleet;
 pub mod name;
@@ -12,6 +13,7 @@
 pub mod verdict;
 pub mod wire;
 
+pub use backend::{BackendSpec, ServerKey};
 pub use document::{
     BackendServer, ConfigDocument, RouteRule, ServerBuilder, ServiceConfig, WorkClass,
 };
