Add a randomized soak of the real gateway as separate processes

Stand-ins for the store and the backend servers behind fault proxies; signals; checks by what callers and servers see.

--- /dev/null
+++ b/crates/soak/src/fault.rs
@@ -0,0 +1,164 @@
+//! Random faults, in series and overlapping.
+
+use crate::backend::{BackendFleet, ServerMood, StandinServer};
+use crate::judge::RunRecord;
+use crate::process::{GRACE_SPAN, GatewayFleet};
+use crate::proxy::{FaultProxy, ProxyMode};
+use crate::store::{StoreMood, StoreStandin};
+use anyhow::Result;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use rustix::process::Signal;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long a leaving server still serves.
+const LEAVE_SPAN: Duration = Duration::from_secs(3);
+/// Longest pause between two faults.
+const PAUSE_MS: u64 = 900;
+
+/// Which faults are injected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKinds {
+    /// Stops, reloads, changes of the configuration, leaving servers.
+    Planned,
+    /// Those and everything else.
+    All,
+}
+
+/// Injects faults for a span and waits until all of them are over.
+pub async fn run_faults(
+    seed: u64,
+    kinds: FaultKinds,
+    span: Duration,
+    fleet: &Arc<GatewayFleet>,
+    store: &StoreStandin,
+    servers: &BackendFleet,
+    record: &Arc<RunRecord>,
+) -> Result<()> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let until = Instant::now() + span;
+    let mut tasks = Vec::new();
+    let mut busy: Vec<(usize, Instant)> = Vec::new();
+    while Instant::now() < until {
+        let length = Duration::from_millis(random.random_range(300..2_500));
+        let choice = random.random_range(0..if kinds == FaultKinds::Planned { 4 } else { 11 });
+        let index = random.random_range(0..fleet.count());
+        busy.retain(|(_, end)| *end > Instant::now());
+        let is_free = busy.len() + 1 < fleet.count() && !busy.iter().any(|(one, _)| *one == index);
+        let listed = servers.servers();
+        let server = listed[random.random_range(0..listed.len())].clone();
+        if choice >= 4 {
+            record.note_fault();
+        }
+        match choice {
+            0 if is_free => {
+                busy.push((index, Instant::now() + GRACE_SPAN + Duration::from_secs(1)));
+                tasks.push(tokio::spawn(restart(Arc::clone(fleet), index, Signal::TERM)));
+            }
+            1 => fleet.signal(index, Signal::HUP)?,
+            2 => {
+                let version = store.version() + random.random_range(1..4);
+                store.put_config(version);
+            }
+            3 if listed.len() > 4 => {
+                servers.add(store).await?;
+                servers.forget(&server.name);
+                record.note_leaving(&server.name);
+                store.put_server(&server.name, server.proxy.address, server.centre, true);
+                tasks.push(tokio::spawn(leave(store.clone(), server)));
+            }
+            4 if is_free => {
+                busy.push((index, Instant::now() + Duration::from_secs(2)));
+                tasks.push(tokio::spawn(restart(Arc::clone(fleet), index, Signal::KILL)));
+            }
+            5 if is_free => {
+                busy.push((index, Instant::now() + length));
+                fleet.signal(index, Signal::STOP)?;
+                let (fleet, record) = (Arc::clone(fleet), Arc::clone(record));
+                tasks.push(tokio::spawn(async move {
+                    tokio::time::sleep(length).await;
+                    record.note_fault();
+                    fleet.signal(index, Signal::CONT)
+                }));
+            }
+            6 => {
+                let mood = match random.random_range(0..3) {
+                    0 => StoreMood::Down,
+                    1 => StoreMood::Slow(Duration::from_millis(200)),
+                    _ => StoreMood::Lossy(0.4),
+                };
+                store.set_mood(mood);
+                let (store, record) = (store.clone(), Arc::clone(record));
+                tasks.push(tokio::spawn(async move {
+                    tokio::time::sleep(length).await;
+                    store.set_mood(StoreMood::Well);
+                    record.note_fault();
+                    Ok(())
+                }));
+            }
+            7 => store.forget_history(),
+            8 => tasks.push(tokio::spawn(disturb(
+                store.proxy.clone(),
+                proxy_mode(&mut random),
+                length,
+                Arc::clone(record),
+            ))),
+            9 => tasks.push(tokio::spawn(disturb(
+                server.proxy.clone(),
+                proxy_mode(&mut random),
+                length,
+                Arc::clone(record),
+            ))),
+            10 => {
+                let moods = [ServerMood::Slow, ServerMood::Shed, ServerMood::Fail];
+                server.set_mood(moods[random.random_range(0..moods.len())]);
+                tasks.push(tokio::spawn(async move {
+                    tokio::time::sleep(length).await;
+                    server.set_mood(ServerMood::Well);
+                    Ok(())
+                }));
+            }
+            _ => {}
+        }
+        tokio::time::sleep(Duration::from_millis(random.random_range(50..PAUSE_MS))).await;
+    }
+    for task in tasks {
+        task.await??;
+    }
+    Ok(())
+}
+
+fn proxy_mode(random: &mut SmallRng) -> ProxyMode {
+    match random.random_range(0..4) {
+        0 => ProxyMode::Delay(Duration::from_millis(random.random_range(5..80))),
+        1 => ProxyMode::Reset,
+        2 => ProxyMode::SilenceBack,
+        _ => ProxyMode::Silence,
+    }
+}
+
+async fn disturb(
+    proxy: FaultProxy,
+    mode: ProxyMode,
+    length: Duration,
+    record: Arc<RunRecord>,
+) -> Result<()> {
+    proxy.set(mode);
+    tokio::time::sleep(length).await;
+    proxy.set(ProxyMode::Pass);
+    record.note_fault();
+    Ok(())
+}
+
+async fn restart(fleet: Arc<GatewayFleet>, index: usize, signal: Signal) -> Result<()> {
+    fleet.signal(index, signal)?;
+    fleet.wait_end(index, GRACE_SPAN).await?;
+    fleet.launch(index)
+}
+
+async fn leave(store: StoreStandin, server: StandinServer) -> Result<()> {
+    tokio::time::sleep(LEAVE_SPAN).await;
+    store.remove_server(&server.name);
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/store.rs
@@ -0,0 +1,222 @@
+//! A stand-in for the platform's metadata store, with faults.
+
+use crate::proxy::FaultProxy;
+use anyhow::Result;
+use axum::body::Bytes;
+use axum::extract::{Query, State};
+use axum::http::{Method, StatusCode, Uri};
+use axum::response::{IntoResponse, Response};
+use axum::{Json, Router};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use platform::wire::{
+    END_PATH, ItemBody, KEEP_PATH, LEASE_PATH, LeaseBody, RANGE_PATH, RangeBody, TXN_PATH, TxnBody,
+    TxnRequest, WATCH_PATH, WatchBody,
+};
+use platform::{CONFIG_KEY, SERVER_PREFIX};
+use rand::RngExt;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+const CONFIG_SAMPLE: &str = include_str!("../../../platform/samples/config.json");
+const SERVER_SAMPLE: &str = include_str!("../../../platform/samples/server.json");
+/// Time between looks of a watch.
+const WATCH_TICK: Duration = Duration::from_millis(5);
+/// How long a call waits that is never answered.
+const LOST_SPAN: Duration = Duration::from_secs(30);
+
+/// How the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StoreMood {
+    /// Well.
+    Well,
+    /// Refuses all calls.
+    Down,
+    /// Answers later.
+    Slow(Duration),
+    /// Does what it is asked but loses a part of the answers.
+    Lossy(f64),
+}
+
+struct StoreState {
+    revision: u64,
+    items: BTreeMap<String, ItemBody>,
+    log: Vec<ItemBody>,
+    history_after: u64,
+    leases: u64,
+    mood: StoreMood,
+    version: u64,
+}
+
+/// The store.
+#[derive(Clone)]
+pub struct StoreStandin {
+    state: Arc<Mutex<StoreState>>,
+    /// In front of it.
+    pub proxy: FaultProxy,
+}
+
+type SharedState = Arc<Mutex<StoreState>>;
+
+fn lock(state: &SharedState) -> MutexGuard<'_, StoreState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl StoreState {
+    fn set(&mut self, key: &str, value: Option<String>) -> u64 {
+        self.revision += 1;
+        let deleted = value.is_none();
+        let item = ItemBody { key: key.into(), value, revision: self.revision, deleted };
+        self.log.push(item.clone());
+        if deleted {
+            self.items.remove(key);
+        } else {
+            self.items.insert(key.to_owned(), item);
+        }
+        self.revision
+    }
+}
+
+impl StoreStandin {
+    /// Starts an empty store.
+    pub async fn start() -> Result<Self> {
+        let state = Arc::new(Mutex::new(StoreState {
+            revision: 1,
+            items: BTreeMap::new(),
+            log: Vec::new(),
+            history_after: 0,
+            leases: 0,
+            mood: StoreMood::Well,
+            version: 0,
+        }));
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let proxy = FaultProxy::start(listener.local_addr()?).await?;
+        let routes = Router::new().fallback(answer).with_state(Arc::clone(&state));
+        tokio::spawn(async move { axum::serve(listener, routes).await });
+        Ok(Self { state, proxy })
+    }
+
+    /// Where gateways reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.proxy.address
+    }
+
+    /// Sets how it behaves.
+    pub fn set_mood(&self, mood: StoreMood) {
+        lock(&self.state).mood = mood;
+    }
+
+    /// Forgets its history.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.log.clear();
+        state.history_after = state.revision;
+    }
+
+    /// Puts a version of the configuration into force.
+    pub fn put_config(&self, version: u64) {
+        let text = CONFIG_SAMPLE.replace("@VERSION@", &version.to_string());
+        let mut state = lock(&self.state);
+        state.version = version;
+        state.set(CONFIG_KEY, Some(STANDARD.encode(text)));
+    }
+
+    /// The newest version.
+    pub fn version(&self) -> u64 {
+        lock(&self.state).version
+    }
+
+    /// Writes the record of a server.
+    pub fn put_server(&self, name: &str, address: SocketAddr, centre: &str, leaving: bool) {
+        let text = SERVER_SAMPLE
+            .replace("@ADDRESS@", &address.to_string())
+            .replace("@CENTRE@", centre)
+            .replace("@STATE@", if leaving { "draining" } else { "ready" })
+            .replace("@BORN@", "1");
+        let value = Some(STANDARD.encode(text));
+        lock(&self.state).set(&format!("{SERVER_PREFIX}{name}"), value);
+    }
+
+    /// Removes the record of a server.
+    pub fn remove_server(&self, name: &str) {
+        lock(&self.state).set(&format!("{SERVER_PREFIX}{name}"), None);
+    }
+}
+
+async fn answer(
+    State(state): State<SharedState>,
+    method: Method,
+    uri: Uri,
+    Query(query): Query<HashMap<String, String>>,
+    body: Bytes,
+) -> Response {
+    let mood = lock(&state).mood;
+    match mood {
+        StoreMood::Down => return StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        StoreMood::Slow(span) => tokio::time::sleep(span).await,
+        StoreMood::Well | StoreMood::Lossy(_) => {}
+    }
+    let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let path = uri.path();
+    let answer = match path {
+        RANGE_PATH => range(&state).into_response(),
+        WATCH_PATH => watch(&state, number("after"), number("wait_ms")).await,
+        TXN_PATH => write(&state, &body),
+        LEASE_PATH => {
+            let mut state = lock(&state);
+            state.leases += 1;
+            Json(LeaseBody { lease: state.leases }).into_response()
+        }
+        _ if path.starts_with(KEEP_PATH) && method == Method::POST => {
+            Json(serde_json::json!({})).into_response()
+        }
+        _ if path.starts_with(END_PATH) => StatusCode::OK.into_response(),
+        _ => StatusCode::BAD_REQUEST.into_response(),
+    };
+    let is_lost = match mood {
+        StoreMood::Lossy(share) => rand::rng().random_bool(share),
+        _ => false,
+    };
+    if is_lost {
+        tokio::time::sleep(LOST_SPAN).await;
+    }
+    answer
+}
+
+fn range(state: &SharedState) -> Json<RangeBody> {
+    let state = lock(state);
+    let items = state.items.values().cloned().collect();
+    Json(RangeBody { items, has_more: false, as_of: state.revision })
+}
+
+async fn watch(state: &SharedState, after: u64, wait_ms: u64) -> Response {
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        {
+            let state = lock(state);
+            if after < state.history_after {
+                return StatusCode::GONE.into_response();
+            }
+            if state.revision > after || Instant::now() >= until {
+                let is_new = |item: &&ItemBody| item.revision > after;
+                let events = state.log.iter().filter(is_new).cloned().collect();
+                return Json(WatchBody { events, as_of: state.revision }).into_response();
+            }
+        }
+        tokio::time::sleep(WATCH_TICK).await;
+    }
+}
+
+fn write(state: &SharedState, body: &[u8]) -> Response {
+    let Ok(request) = serde_json::from_slice::<TxnRequest>(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let mut state = lock(state);
+    for write in request.writes {
+        state.set(&write.key, Some(write.value));
+    }
+    Json(TxnBody { revision: state.revision }).into_response()
+}
