--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Starts an instance and runs it to its end.
 
+use crate::announce::run_announcement;
 use crate::caller_port::answer_caller;
 use crate::dialect::WireDialect;
 use crate::peer_port::{answer_peer, open_socket, run_beats, run_datagrams};
@@ -10,7 +11,7 @@
 use crate::slots::run_queue;
 use crate::state::{GatewayDecoder, GatewayState};
 use crate::stop::{run_reload, run_stop, wait_signal};
-use crate::store_sync::{run_announcement, run_sync};
+use crate::store_sync::run_sync;
 use model::IncarnationId;
 use smol_str::format_smolstr;
 use std::path::PathBuf;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! All tasks run on one thread: the instances have a fifth of a core and pay for each megabyte.
 
+mod announce;
 mod caller_port;
 mod decision_log;
 mod dialect;
@@ -14,6 +15,7 @@
 mod peer_port;
 mod port;
 mod prober;
+mod records;
 mod serve;
 mod settings_file;
 mod side_port;
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -1,9 +1,10 @@
 //! Talks to other instances: datagrams for heartbeats and changes, HTTP for what was missed.
 
 use crate::prober::take_loads;
+use crate::records::refresh_fleet;
 use crate::serve::{CallerAnswer, own_answer};
 use crate::state::GatewayState;
-use crate::store_sync::{refresh_fleet, take_batch};
+use crate::store_sync::take_batch;
 use anyhow::{Context, anyhow};
 use bytes::Bytes;
 use fleet::{ChangeBatch, DATAGRAM_MAX_BYTES, LoadRow, PeerDatagram, PullAnswer, StoreChange};
@@ -118,6 +119,9 @@
             let now = state.now();
             let (as_of, age) = (beat.as_of, beat.confirmed_age.span());
             let mut fleet = state.fleet();
+            if beat.store_lost {
+                fleet.trouble_at = Some(now);
+            }
             let is_new = fleet.members.record_beat(now, beat);
             fleet.confirm(now, as_of, age);
             let is_behind = as_of > fleet.replica.as_of();
--- /dev/null
+++ b/crates/gateway/src/records.rs
@@ -0,0 +1,139 @@
+//! What follows from records of the store: the configuration in force, the backend servers that may
+//! get work, the members and the homes.
+
+use crate::slots::advance_queue;
+use crate::state::GatewayState;
+use fleet::{StoreChange, StoreRecord};
+use model::{BackendSpec, MonoTime};
+use smol_str::{SmolStr, format_smolstr};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long servers that vanished while the store was in trouble are still used after it is back;
+/// those that live announce themselves again in this time.
+const RETURN_SPAN: Duration = Duration::from_millis(2_200);
+
+/// Brings configuration, servers and members in line with changed records.
+pub(crate) fn apply_records(state: &Rc<GatewayState>, applied: &[StoreChange]) {
+    for change in applied {
+        let Some(value) = &change.value else {
+            state.log.state("record_gone", &change.key);
+            continue;
+        };
+        match state.decoder.decode(&change.key, value) {
+            StoreRecord::Config(table) => apply_table(state, table),
+            StoreRecord::Malformed(cause) => {
+                let detail = format_smolstr!("{}: {cause}", change.key);
+                state.log.state("record_malformed", &detail);
+            }
+            StoreRecord::Server(server) => {
+                let detail = format_smolstr!(
+                    "{} of {} at {} leaving {} revision {}",
+                    server.key.name,
+                    server.service,
+                    server.address,
+                    server.is_leaving,
+                    change.revision
+                );
+                state.log.state("server", &detail);
+            }
+            StoreRecord::Member(_) | StoreRecord::Foreign => {}
+        }
+    }
+    if !applied.is_empty() {
+        rebuild(state);
+    }
+}
+
+/// Puts a configuration in force unless it is older than the present one.
+fn apply_table(state: &Rc<GatewayState>, table: routing::RouteTable) {
+    let version = table.version;
+    if state.table.borrow().as_ref().is_some_and(|present| present.version >= version) {
+        return;
+    }
+    let detail = format_smolstr!("version {version}, {} routes", table.route_count());
+    state.metrics.version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+    let is_first = state.table.replace(Some(Rc::new(table))).is_none();
+    let mut fleet = state.fleet();
+    fleet.version = version;
+    let is_ready = state.is_ready();
+    fleet.members.set_ready(is_ready);
+    drop(fleet);
+    state.log.state(if is_first { "ready" } else { "config" }, &detail);
+    if is_first {
+        state.beat.notify_one();
+    }
+}
+
+/// Decodes all records of servers and members anew.
+fn rebuild(state: &Rc<GatewayState>) {
+    let now = state.now();
+    let (mut specs, mut members) = (Vec::new(), Vec::new());
+    for (key, value) in state.fleet_ref().replica.items() {
+        match state.decoder.decode(key, value) {
+            StoreRecord::Server(server) => specs.push(server),
+            StoreRecord::Member(member) => members.push(member),
+            _ => {}
+        }
+    }
+    keep_vanished(state, now, &mut specs);
+    state.metrics.servers.set(i64::try_from(specs.len()).unwrap_or(i64::MAX));
+    state.queue().picture.set_servers(now, specs);
+    state.fleet().members.set_listed(members);
+    refresh_fleet(state);
+    advance_queue(state);
+}
+
+/// Servers whose records lapsed while the store was in trouble stay until they had time to announce
+/// themselves again.
+fn keep_vanished(state: &Rc<GatewayState>, now: MonoTime, specs: &mut Vec<BackendSpec>) {
+    let trouble = state.fleet_ref().trouble_at;
+    let is_recent = trouble.is_some_and(|at| now.since(at) < RETURN_SPAN);
+    if !is_recent {
+        return;
+    }
+    let queue = state.queue();
+    let vanished = queue
+        .picture
+        .servers()
+        .filter(|known| known.is_hopeful() && !specs.iter().any(|spec| spec.key == known.spec.key));
+    let kept: Vec<BackendSpec> = vanished.map(|known| known.spec.clone()).collect();
+    drop(queue);
+    if kept.is_empty() {
+        return;
+    }
+    specs.extend(kept);
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(RETURN_SPAN).await;
+        rebuild(&state);
+    });
+}
+
+/// Part of the shared extra retries for all instances that are no homes.
+const OTHERS_PART: f64 = 0.2;
+
+/// Brings homes and what depends on them up to date.
+pub(crate) fn refresh_fleet(state: &Rc<GatewayState>) {
+    let now = state.now();
+    let servers = state.queue().picture.servers().count();
+    let count = state.settings().homes.home_count(servers);
+    let mut fleet = state.fleet();
+    let is_ready = state.is_ready();
+    fleet.members.set_ready(is_ready);
+    if !fleet.refresh(now, count) {
+        return;
+    }
+    let homes: Vec<SmolStr> =
+        fleet.homes().iter().map(|home| SmolStr::new(home.name.as_str())).collect();
+    let part = match fleet.home_place() {
+        Some(_) => (1.0 - OTHERS_PART) / homes.len().max(2) as f64,
+        None => OTHERS_PART / fleet.usable_count().max(1) as f64,
+    };
+    let detail = format_smolstr!("{homes:?} of {} usable", fleet.usable_count());
+    state.metrics.members.set(i64::try_from(fleet.usable_count()).unwrap_or(i64::MAX));
+    drop(fleet);
+    state.queue().set_extra_part(part);
+    state.log.state("homes", &detail);
+    state.beat.notify_one();
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,8 +1,8 @@
 //! The planned stop, and changes of the settings file.
 
+use crate::records::refresh_fleet;
 use crate::settings_file::read_settings;
 use crate::state::{GatewayState, RunPhase};
-use crate::store_sync::refresh_fleet;
 use smol_str::format_smolstr;
 use std::path::PathBuf;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/soak/tests/short_run.rs
@@ -0,0 +1,23 @@
+//! A short run of the soak with fixed seeds.
+
+use std::process::Command;
+use testkit::cases;
+
+/// Seconds in which faults are injected.
+const SECONDS: &str = "5";
+
+fn check_seed(seed: &str, planned: bool) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_soak"));
+    command.args(["--seed", seed, "--seconds", SECONDS]);
+    if planned {
+        command.arg("--planned");
+    }
+    let output = command.output().expect("the soak starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+}
+
+cases! { check_seed {
+    planned_work: ("1", true);
+    all_faults: ("3", false);
+} }
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod fleet;
 mod processes;
+mod soak;
 
 use anyhow::Result;
 use bpaf::Bpaf;
@@ -66,6 +67,18 @@
         #[bpaf(argument("FOLDER"), fallback("target/bench".into()))]
         output: std::path::PathBuf,
     },
+    /// Run the gateway as separate processes under random faults from outside
+    #[bpaf(command)]
+    Soak {
+        /// Seed of the faults and of the load
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// How long faults are injected, in seconds
+        #[bpaf(argument("SECONDS"), fallback(20))]
+        seconds: u64,
+        /// Only planned work
+        planned: bool,
+    },
     /// Run the programs as separate processes under random faults and check the promises
     #[bpaf(command)]
     Chaos {
@@ -110,6 +123,7 @@
             heavy,
             output,
         }),
+        ChoreOptions::Soak { seed, seconds, planned } => soak::run_soak(seed, seconds, planned),
         ChoreOptions::Chaos { seed, seconds, rate } => chaos::run_chaos(seed, seconds, rate),
     }
 }
