Keep servers that vanished during trouble of the store for a bounded time

One instance that was cut off said that the store failed it, so all instances took the removal for a lapse and renewed the time for as long as that went on. Ruled out: lost datagrams (all instances logged the removal at 3.99 s). Change: the time counts from when the record vanished and is shorter than the two seconds allowed; the word of others about the store no longer counts. Test: a_server_that_vanishes_during_trouble_is_used_for_a_short_time_only, failed before.

--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -6,7 +6,8 @@
     BeatMessage, ChangeBatch, MemberRecord, MemberTable, MemberView, PullAnswer, StoreChange,
     StoreReplica, choose_homes, choose_scouts,
 };
-use model::{ConfigVersion, IncarnationId, InstanceName, MonoTime, StoreRevision};
+use model::{ConfigVersion, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     /// When the store was last known to be in trouble.
     pub trouble_at: Option<MonoTime>,
     pub version: ConfigVersion,
+    /// Servers whose records vanished while the store was in trouble, and since when.
+    pub vanished: HashMap<ServerKey, MonoTime>,
     views: Vec<MemberView>,
     homes: Vec<MemberRecord>,
     is_scout: bool,
@@ -50,6 +53,7 @@
             is_watching: false,
             trouble_at: None,
             version: ConfigVersion(0),
+            vanished: HashMap::new(),
             views: Vec::new(),
             homes: Vec::new(),
             is_scout: false,
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -119,9 +119,6 @@
             let now = state.now();
             let (as_of, age) = (beat.as_of, beat.confirmed_age.span());
             let mut fleet = state.fleet();
-            if beat.store_lost {
-                fleet.trouble_at = Some(now);
-            }
             let is_new = fleet.members.record_beat(now, beat);
             fleet.confirm(now, as_of, age);
             let is_behind = as_of > fleet.replica.as_of();
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -3,15 +3,16 @@
 
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
+use balance::BackendState;
 use fleet::{StoreChange, StoreRecord};
 use model::{BackendSpec, MonoTime};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long servers that vanished while the store was in trouble are still used after it is back;
-/// those that live announce themselves again in this time.
-const RETURN_SPAN: Duration = Duration::from_millis(2_200);
+/// How long a server whose record vanished while the store was in trouble is still used. Less than the
+/// two seconds in which a server that leaves may still get work.
+const RETURN_SPAN: Duration = Duration::from_millis(1_800);
 
 /// Brings configuration, servers and members in line with changed records.
 pub(crate) fn apply_records(state: &Rc<GatewayState>, applied: &[StoreChange]) {
@@ -84,21 +85,36 @@
     advance_queue(state);
 }
 
-/// Servers whose records lapsed while the store was in trouble stay until they had time to announce
-/// themselves again.
+/// Servers whose records lapsed while the store was in trouble stay for a short time, in which those
+/// that live announce themselves again. The time counts from when a record vanished, however long
+/// the trouble lasts.
 fn keep_vanished(state: &Rc<GatewayState>, now: MonoTime, specs: &mut Vec<BackendSpec>) {
-    let trouble = state.fleet_ref().trouble_at;
-    let is_recent = trouble.is_some_and(|at| now.since(at) < RETURN_SPAN);
-    if !is_recent {
-        return;
+    let vanished: Vec<BackendSpec> = {
+        let queue = state.queue();
+        let is_listed = |known: &BackendState| specs.iter().any(|spec| spec.key == known.spec.key);
+        let servers = queue.picture.servers();
+        servers
+            .filter(|known| known.is_hopeful() && !is_listed(known))
+            .map(|known| known.spec.clone())
+            .collect()
+    };
+    let mut fleet = state.fleet();
+    let is_troubled = fleet.trouble_at.is_some_and(|at| now.since(at) < RETURN_SPAN);
+    let known = std::mem::take(&mut fleet.vanished);
+    let mut kept = Vec::new();
+    for spec in vanished {
+        let since = known.get(&spec.key).copied();
+        // Without trouble a record vanishes only when its server is gone.
+        if since.is_none() && !is_troubled {
+            continue;
+        }
+        let since = since.unwrap_or(now);
+        if now.since(since) < RETURN_SPAN {
+            fleet.vanished.insert(spec.key.clone(), since);
+            kept.push(spec);
+        }
     }
-    let queue = state.queue();
-    let vanished = queue
-        .picture
-        .servers()
-        .filter(|known| known.is_hopeful() && !specs.iter().any(|spec| spec.key == known.spec.key));
-    let kept: Vec<BackendSpec> = vanished.map(|known| known.spec.clone()).collect();
-    drop(queue);
+    drop(fleet);
     if kept.is_empty() {
         return;
     }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -117,3 +117,24 @@
     one.close();
     two.close();
 }
+
+/// Cause traced: while the store stayed in trouble for an instance, it used a server that had vanished
+/// for as long as that lasted.
+#[test]
+fn a_server_that_vanishes_during_trouble_is_used_for_a_short_time_only() {
+    let store = MemoryStore::default();
+    let server = ScriptedBackend::start("first");
+    store.set("config", Some("1"));
+    list_server(&store, &server, "ready");
+    let (one, two) = pair(&store);
+    store.refuse(&one.name, true);
+    wait_until("the instance notices", || {
+        call(one.metrics, "GET", "/metrics", "m").body.contains("outcome=\"failed\"")
+    });
+    store.set("servers/first", None);
+    for instance in [&one, &two] {
+        wait_until("the server gets nothing", || work(instance, "ok", "id").status == 503);
+    }
+    one.close();
+    two.close();
+}
