Take requests of a stopping instance only while they can still be answered

Change: the last request is taken so early that the slowest route can still be answered. Test: stop_plan.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,3 +27,4 @@
 pub use dialect::{HeaderDialect, WireDialect};
 pub use gateway::{GatewayParts, run_gateway, run_gateway_until};
 pub use settings_file::{GatewaySettings, read_settings};
+pub use stop::StopPlan;
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Time before the end at which connections are closed.
-const CLOSE_MARGIN: Duration = Duration::from_millis(900);
 /// Time before the end at which the process leaves.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Least part of the grace time in which requests are still taken.
+const TAKING_SHARE: f64 = 0.4;
 /// Shortest time in which callers may still come with addresses that they kept.
 const KEPT_FACTOR: u32 = 3;
 /// Time between looks at whether connections are left.
@@ -20,6 +20,24 @@
 /// Time between looks at the settings file.
 const FILE_TICK: Duration = Duration::from_millis(500);
 
+/// When a stopping instance does what, after it was asked to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopPlan {
+    /// It takes no more requests and closes connections as their answers are out.
+    pub close_after: Duration,
+    /// It leaves.
+    pub exit_after: Duration,
+}
+
+impl StopPlan {
+    /// Takes requests only as long as the slowest route can still be answered in the grace time.
+    pub fn new(grace: Duration, longest: Duration) -> Self {
+        let exit_after = grace.saturating_sub(EXIT_MARGIN);
+        let close_after = exit_after.saturating_sub(longest).max(grace.mul_f64(TAKING_SHARE));
+        Self { close_after: close_after.min(exit_after), exit_after }
+    }
+}
+
 /// Ends when the process is asked to stop.
 pub(crate) async fn wait_signal() -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -42,8 +60,9 @@
     state.log.state("stopping", &format_smolstr!("{} connections", state.connections.get()));
     refresh_fleet(&state);
     state.beat.notify_one();
-    let grace = state.settings().stop_span.span();
-    let close_at = started + grace.saturating_sub(CLOSE_MARGIN);
+    let longest = state.table().map(|table| table.longest_timeout().span()).unwrap_or_default();
+    let plan = StopPlan::new(state.settings().stop_span.span(), longest);
+    let close_at = started + plan.close_after;
     let kept_until = started + state.settings().directory_keep.span() * KEPT_FACTOR;
     loop {
         let now = tokio::time::Instant::now();
@@ -54,7 +73,7 @@
         tokio::time::sleep(DRAIN_TICK).await;
     }
     state.closing.send_replace(true);
-    let exit_at = started + grace.saturating_sub(EXIT_MARGIN);
+    let exit_at = started + plan.exit_after;
     while state.connections.get() > 0 && tokio::time::Instant::now() < exit_at {
         tokio::time::sleep(DRAIN_TICK).await;
     }
--- /dev/null
+++ b/crates/gateway/tests/stop_plan.rs
@@ -0,0 +1,22 @@
+//! When a stopping instance takes its last request.
+
+use gateway::StopPlan;
+use std::time::Duration;
+use testkit::cases;
+
+/// A request that is taken just before the close ends before the exit, and some are still taken.
+fn check_plan(grace_ms: u64, longest_ms: u64, close_ms: u64) {
+    let grace = Duration::from_millis(grace_ms);
+    let longest = Duration::from_millis(longest_ms);
+    let plan = StopPlan::new(grace, longest);
+    assert_eq!(plan.close_after, Duration::from_millis(close_ms));
+    assert!(plan.exit_after < grace);
+    assert!(plan.close_after + longest <= plan.exit_after || longest > grace / 2);
+}
+
+cases! { check_plan {
+    usual: (6_000, 1_500, 4_200);
+    slower_routes: (6_000, 2_000, 3_700);
+    routes_slower_than_the_grace: (6_000, 30_000, 2_400);
+    short_grace: (3_000, 1_000, 1_700);
+} }
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -14,11 +14,12 @@
 use routing::{
     RepeatKind, RequestLimits, RouteBuilder, RouteTable, RouteTarget, ServiceEntry, TableBuilder,
 };
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
+use testkit::free_address;
 use tokio::sync::oneshot;
 
 /// Longest time that a test waits for something to become true.
@@ -168,11 +169,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 /// Starts an instance.
 pub fn start_instance(name: &str, store: &MemoryStore) -> TestInstance {
     let addresses: Vec<SocketAddr> = (0..6).map(|_| free_address()).collect();
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -206,6 +206,12 @@
         targets.all(|target| self.services.contains_key(&target.service))
     }
 
+    /// The longest timeout of any route.
+    pub fn longest_timeout(&self) -> Millis {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Number of routes of all hosts.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(HashMap::len).sum()
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -4,11 +4,12 @@
 use anyhow::{Context, Result, bail};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use testkit::free_address;
 
 /// Time between looks at a process.
 const LOOK_TICK: Duration = Duration::from_millis(50);
@@ -39,16 +40,23 @@
     child: Option<Child>,
 }
 
+impl Drop for GatewayProcess {
+    /// Ends the process when a run fails half way.
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
 /// All gateways.
 pub struct GatewayFleet {
     program: PathBuf,
     processes: Vec<Mutex<GatewayProcess>>,
 }
 
-fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
-}
-
 impl GatewayFleet {
     /// Starts gateways with settings and logs in a folder of their own.
     pub async fn start(folder: &Path, count: usize, store: SocketAddr) -> Result<Self> {
@@ -56,14 +64,14 @@
         let scratch = std::env::temp_dir().join(format!("lacewing-soak-{}", std::process::id()));
         std::fs::create_dir_all(&scratch)?;
         println!("settings and logs in {}", scratch.display());
-        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect::<Result<_>>()?;
+        let peers: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
         let seeds: Vec<String> = peers.iter().take(3).map(ToString::to_string).collect();
         let mut processes = Vec::new();
         for (index, peer) in peers.iter().enumerate() {
             let addresses = GatewayAddresses {
-                callers: free_address()?,
-                ready: free_address()?,
-                directory: free_address()?,
+                callers: free_address(),
+                ready: free_address(),
+                directory: free_address(),
             };
             let text = format!(
                 "[instance]\nname = g{index}\ndata_centre = {}\n[listen]\ncallers = {}\nready = {}\n\
@@ -74,7 +82,7 @@
                 addresses.callers,
                 addresses.ready,
                 addresses.directory,
-                free_address()?,
+                free_address(),
                 seeds.join(","),
                 GRACE_SPAN.as_secs_f64(),
             );
