--- /dev/null
+++ b/crates/gateway/tests/fleet.rs
@@ -0,0 +1,119 @@
+//! Several instances and a store that fails some of them.
+
+mod support;
+
+use support::backend::ScriptedBackend;
+use support::client::call;
+use support::fixture::{
+    TestInstance, is_ready, list_server, served, start_instance, wait_until, work,
+};
+use support::memory_store::MemoryStore;
+
+fn status(instance: &TestInstance, path: &str) -> u16 {
+    call(instance.callers, "POST", path, "probe").status
+}
+
+fn pair(store: &MemoryStore) -> (TestInstance, TestInstance) {
+    let instances = (start_instance("one", store), start_instance("two", store));
+    for instance in [&instances.0, &instances.1] {
+        wait_until("both are known", || {
+            std::net::TcpStream::connect(instance.directory).is_ok()
+                && call(instance.directory, "GET", "/where", "d").body.contains(' ')
+        });
+    }
+    instances
+}
+
+#[test]
+fn without_a_configuration_an_instance_refuses_as_not_run() {
+    let store = MemoryStore::default();
+    store.set("other", Some("x"));
+    let instance = start_instance("one", &store);
+    wait_until("listening", || std::net::TcpStream::connect(instance.callers).is_ok());
+    let answer = work(&instance, "ok", "id-1");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(!is_ready(&instance));
+    store.set("config", Some("1"));
+    wait_until("ready", || is_ready(&instance));
+    instance.close();
+}
+
+#[test]
+fn an_older_or_broken_configuration_changes_nothing() {
+    let (store, _server, instance) = served();
+    store.set("config", Some("5"));
+    wait_until("version 5", || status(&instance, "/v5/") == 200);
+    for text in ["3", "broken", "5"] {
+        store.set("config", Some(text));
+    }
+    store.set("config", Some("7"));
+    wait_until("version 7", || status(&instance, "/v7/") == 200);
+    assert_eq!(status(&instance, "/v5/"), 404);
+    assert_eq!(status(&instance, "/v3/"), 404);
+    instance.close();
+}
+
+#[test]
+fn a_leaving_server_and_a_malformed_one_get_nothing() {
+    let (store, first, instance) = served();
+    let second = ScriptedBackend::start("second");
+    list_server(&store, &second, "ready");
+    store.set("servers/third", Some("nowhere"));
+    wait_until("the second server serves", || {
+        work(&instance, "ok", "warm");
+        !second.ran().is_empty()
+    });
+    list_server(&store, &first, "leaving");
+    wait_until("the first server gets nothing", || {
+        let before = first.ran().len();
+        (0..6).for_each(|_| assert_eq!(work(&instance, "ok", "id").status, 200));
+        first.ran().len() == before
+    });
+    instance.close();
+}
+
+#[test]
+fn changes_after_forgotten_history_are_seen() {
+    let (store, _server, instance) = served();
+    store.refuse("one", true);
+    store.set("config", Some("5"));
+    store.forget_history();
+    store.refuse("one", false);
+    wait_until("version 5", || status(&instance, "/v5/") == 200);
+    instance.close();
+}
+
+#[test]
+fn an_instance_that_the_store_refuses_learns_from_the_other() {
+    let store = MemoryStore::default();
+    let server = ScriptedBackend::start("first");
+    store.set("config", Some("1"));
+    list_server(&store, &server, "ready");
+    let (one, two) = pair(&store);
+    for (lost, version) in [(&one, 5), (&two, 6)] {
+        store.refuse(&lost.name, true);
+        store.set("config", Some(&version.to_string()));
+        let path = format!("/v{version}/");
+        wait_until("the change is in force there", || status(lost, &path) == 200);
+        store.refuse(&lost.name, false);
+    }
+    one.close();
+    two.close();
+}
+
+#[test]
+fn an_instance_that_stops_leaves_the_answers_of_the_other() {
+    let store = MemoryStore::default();
+    let server = ScriptedBackend::start("first");
+    store.set("config", Some("1"));
+    list_server(&store, &server, "ready");
+    let (mut one, two) = pair(&store);
+    one.ask_stop();
+    let expected = two.callers.to_string();
+    wait_until("only the other one is named", || {
+        call(two.directory, "GET", "/where", "d").body == expected
+    });
+    one.close();
+    two.close();
+}
--- /dev/null
+++ b/crates/gateway/tests/support/fixture.rs
@@ -0,0 +1,242 @@
+//! Instances with a store in memory.
+
+use crate::support::backend::ScriptedBackend;
+use crate::support::client::{PlainAnswer, call};
+use crate::support::memory_store::{InstanceStore, MemoryStore};
+use balance::LoadReport;
+use bytes::Bytes;
+use fleet::{RecordDecoder, ServerRecord, StoreRecord};
+use gateway::{GatewayParts, HeaderDialect, WireDialect, read_settings, run_gateway_until};
+use http::HeaderName;
+use model::{ConfigVersion, ConnectionCount, IncarnationId, Millis, SlotCount};
+use routing::{
+    RepeatKind, RequestLimits, RouteBuilder, RouteTable, RouteTarget, ServiceEntry, TableBuilder,
+};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Longest time that a test waits for something to become true.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Time between looks.
+const LOOK_TICK: Duration = Duration::from_millis(20);
+
+/// Conventions of the tests.
+struct TestDialect(HeaderDialect);
+
+impl TestDialect {
+    fn new() -> Self {
+        Self(HeaderDialect {
+            request_id: HeaderName::from_static("t-id"),
+            deadline: HeaderName::from_static("t-deadline"),
+            expected_server: HeaderName::from_static("t-expect"),
+            signature: HeaderName::from_static("t-signature"),
+            not_run: HeaderName::from_static("t-not-run"),
+            load: HeaderName::from_static("t-load"),
+            server: HeaderName::from_static("t-server"),
+        })
+    }
+}
+
+impl WireDialect for TestDialect {
+    fn headers(&self) -> &HeaderDialect {
+        &self.0
+    }
+
+    fn load_report(&self, text: &str) -> Option<LoadReport> {
+        let running = text.split(',').next()?.parse().ok()?;
+        Some(LoadReport { running, waiting: 0, pace: 1.0 })
+    }
+
+    fn directory_path(&self) -> &str {
+        "/where"
+    }
+
+    fn ready_path(&self) -> &str {
+        "/ready"
+    }
+
+    fn directory_answer(&self, addresses: &[SocketAddr], _keep: Duration) -> (Bytes, &'static str) {
+        let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+        (texts.join(" ").into(), "text/plain")
+    }
+
+    fn member_key(&self, name: &str) -> String {
+        format!("members/{name}")
+    }
+}
+
+/// Reads `servers/NAME` as address and state, and `config` as a version.
+struct TestDecoder;
+
+impl RecordDecoder for TestDecoder {
+    type Config = RouteTable;
+
+    fn decode(&self, key: &str, value: &str) -> StoreRecord<RouteTable> {
+        if key == "config" {
+            return match value.parse() {
+                Ok(version) => StoreRecord::Config(table(version)),
+                Err(_) => StoreRecord::Malformed("version".into()),
+            };
+        }
+        if let Some(name) = key.strip_prefix("members/") {
+            return serde_json::from_str(value)
+                .map_or(StoreRecord::Malformed(name.into()), StoreRecord::Member);
+        }
+        let Some(name) = key.strip_prefix("servers/") else {
+            return StoreRecord::Foreign;
+        };
+        let (address, state) = value.split_once(' ').unwrap_or((value, ""));
+        let (Ok(name), Ok(address)) = (name.parse(), address.parse()) else {
+            return StoreRecord::Malformed("server".into());
+        };
+        StoreRecord::Server(ServerRecord {
+            name,
+            incarnation: IncarnationId(1),
+            service: "orders".parse().expect("name"),
+            address,
+            data_centre: "north".parse().expect("name"),
+            slots: SlotCount(4),
+            is_leaving: state == "leaving",
+            warm_up_left: Millis(0),
+        })
+    }
+}
+
+/// `/work/` runs at most once, `/look/` may be repeated; a version adds `/vN/`.
+fn table(version: u64) -> RouteTable {
+    let limits = RequestLimits {
+        head_bytes: 16_384,
+        body_bytes: 10_000,
+        head_timeout: Millis(3_000),
+        idle_timeout: Millis(15_000),
+    };
+    let route = |name: String, prefix: String, repeat| {
+        let target = RouteTarget { service: "orders".parse().expect("name"), weight: 1.0 };
+        RouteBuilder::new(name.into(), prefix.into(), vec![target])
+            .repeat(repeat)
+            .times(Millis(1_000), Millis(600))
+            .attempts(2)
+            .build()
+    };
+    TableBuilder::new(ConfigVersion(version), limits)
+        .service(
+            "orders".parse().expect("name"),
+            ServiceEntry { health_path: "/health".into(), connections: ConnectionCount(100) },
+        )
+        .route("shop.example", route("work".into(), "/work/".into(), RepeatKind::Once))
+        .route("shop.example", route("look".into(), "/look/".into(), RepeatKind::Idempotent))
+        .route(
+            "shop.example",
+            route(format!("v{version}"), format!("/v{version}/"), RepeatKind::Once),
+        )
+        .build()
+}
+
+/// A running instance.
+pub struct TestInstance {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub ready: SocketAddr,
+    /// Where addresses are asked.
+    pub directory: SocketAddr,
+    /// Where metrics are.
+    pub metrics: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TestInstance {
+    /// Asks it to stop.
+    pub fn ask_stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            stop.send(()).expect("the instance runs");
+        }
+    }
+
+    /// Waits for its end.
+    pub fn close(mut self) {
+        self.ask_stop();
+        self.thread.take().expect("started").join().expect("the instance ended well");
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// Starts an instance.
+pub fn start_instance(name: &str, store: &MemoryStore) -> TestInstance {
+    let addresses: Vec<SocketAddr> = (0..6).map(|_| free_address()).collect();
+    let text = format!(
+        "[instance]\nname = {name}\ndata_centre = north\n[listen]\ncallers = {}\nready = {}\n\
+         directory = {}\npeers = {}\ndatagrams = {}\nmetrics = {}\n[store]\naddress = 127.0.0.1:1\n\
+         [stop]\ngrace_s = 3\n[probes]\nper_s = 20\n[retries]\nratio = 0.2\nextra = 60\n",
+        addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], addresses[5],
+    );
+    let settings = read_settings("test", &text).expect("valid settings");
+    let (stop, asked) = oneshot::channel();
+    let own = InstanceStore { store: store.clone(), instance: name.into() };
+    let thread = std::thread::spawn(move || {
+        let parts = GatewayParts {
+            settings,
+            settings_file: PathBuf::from("none"),
+            dialect: Rc::new(TestDialect::new()),
+            decoder: Rc::new(TestDecoder),
+            store: Rc::new(own),
+        };
+        run_gateway_until(parts, async { Ok(asked.await?) }).expect("the instance runs");
+    });
+    TestInstance {
+        name: name.into(),
+        callers: addresses[0],
+        ready: addresses[1],
+        directory: addresses[2],
+        metrics: addresses[5],
+        stop: Some(stop),
+        thread: Some(thread),
+    }
+}
+
+/// Writes the record of a server.
+pub fn list_server(store: &MemoryStore, server: &ScriptedBackend, state: &str) {
+    store.set(&format!("servers/{}", server.name), Some(&format!("{} {state}", server.address)));
+}
+
+/// Waits until something is true.
+pub fn wait_until(what: &str, mut is_true: impl FnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !is_true() {
+        assert!(Instant::now() < until, "not true in time: {what}");
+        std::thread::sleep(LOOK_TICK);
+    }
+}
+
+/// Asks an instance whether it is ready.
+pub fn is_ready(instance: &TestInstance) -> bool {
+    std::net::TcpStream::connect(instance.ready).is_ok()
+        && call(instance.ready, "GET", "/ready", "r").status == 200
+}
+
+/// An instance with one server that is ready to serve.
+pub fn served() -> (MemoryStore, ScriptedBackend, TestInstance) {
+    let store = MemoryStore::default();
+    let server = ScriptedBackend::start("first");
+    store.set("config", Some("1"));
+    list_server(&store, &server, "ready");
+    let instance = start_instance("one", &store);
+    wait_until("ready", || is_ready(&instance));
+    (store, server, instance)
+}
+
+/// Calls the work route at most once.
+pub fn work(instance: &TestInstance, step: &str, id: &str) -> PlainAnswer {
+    call(instance.callers, "POST", &format!("/work/{step}/"), id)
+}
--- /dev/null
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -0,0 +1,162 @@
+//! The platform's store as a map in memory, which can be told to fail for single instances.
+
+use futures::FutureExt;
+use model::{Millis, StoreRevision};
+use smol_str::SmolStr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use store::replicated::ItemState;
+use store::{LeaseId, ReplicaStore, StoreCall, StoreError, StoreItems, StoreKey, WatchAnswer};
+
+/// Time between looks of a watch.
+const WATCH_TICK: Duration = Duration::from_millis(5);
+
+#[derive(Default)]
+struct MemoryState {
+    revision: u64,
+    items: BTreeMap<SmolStr, ItemState>,
+    log: Vec<ItemState>,
+    history_after: u64,
+    leases: u64,
+    refused: BTreeSet<SmolStr>,
+    calls: u64,
+}
+
+/// The store; clones share its content.
+#[derive(Clone, Default)]
+pub struct MemoryStore(Arc<Mutex<MemoryState>>);
+
+impl MemoryStore {
+    fn lock(&self) -> MutexGuard<'_, MemoryState> {
+        self.0.lock().expect("no test thread panics while it holds the store")
+    }
+
+    /// Writes or removes a key.
+    pub fn set(&self, key: &str, value: Option<&str>) -> u64 {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = StoreRevision(state.revision);
+        let item = ItemState { key: key.into(), value: value.map(Into::into), revision };
+        state.log.push(item.clone());
+        match value {
+            Some(_) => state.items.insert(key.into(), item),
+            None => state.items.remove(key),
+        };
+        state.revision
+    }
+
+    /// Forgets all changes up to now.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.log.clear();
+        state.history_after = state.revision;
+    }
+
+    /// Refuses or serves the calls of an instance.
+    pub fn refuse(&self, instance: &str, refused: bool) {
+        let mut state = self.lock();
+        if refused {
+            state.refused.insert(instance.into());
+        } else {
+            state.refused.remove(instance);
+        }
+    }
+
+    /// Calls made by all instances.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Whether a key exists.
+    pub fn has(&self, key: &str) -> bool {
+        self.lock().items.contains_key(key)
+    }
+}
+
+/// The store as one instance reaches it.
+pub struct InstanceStore {
+    /// The store.
+    pub store: MemoryStore,
+    /// The instance.
+    pub instance: SmolStr,
+}
+
+impl InstanceStore {
+    fn enter(&self) -> Result<MutexGuard<'_, MemoryState>, StoreError> {
+        let mut state = self.store.lock();
+        state.calls += 1;
+        if state.refused.contains(&self.instance) {
+            return Err(StoreError::NotApplied("refused".into()));
+        }
+        Ok(state)
+    }
+
+    async fn follow(&self, after: StoreRevision, wait: Millis) -> Result<WatchAnswer, StoreError> {
+        let until = Instant::now() + wait.span();
+        drop(self.enter()?);
+        loop {
+            {
+                let state = self.store.lock();
+                if state.refused.contains(&self.instance) {
+                    return Err(StoreError::NotApplied("cut".into()));
+                }
+                if after.0 < state.history_after {
+                    return Ok(WatchAnswer::HistoryGone);
+                }
+                if state.revision > after.0 || Instant::now() >= until {
+                    let is_new = |item: &&ItemState| item.revision > after;
+                    let items = state.log.iter().filter(is_new).cloned().collect();
+                    let as_of = StoreRevision(state.revision);
+                    return Ok(WatchAnswer::Changes(StoreItems { as_of, items }));
+                }
+            }
+            tokio::time::sleep(WATCH_TICK).await;
+        }
+    }
+}
+
+impl ReplicaStore for InstanceStore {
+    fn read_all(&self) -> StoreCall<'_, StoreItems> {
+        async move {
+            let state = self.enter()?;
+            let items = state.items.values().cloned().collect();
+            Ok(StoreItems { as_of: StoreRevision(state.revision), items })
+        }
+        .boxed_local()
+    }
+
+    fn watch(&self, after: StoreRevision, wait: Millis) -> StoreCall<'_, WatchAnswer> {
+        self.follow(after, wait).boxed_local()
+    }
+
+    fn grant(&self, _ttl: Millis) -> StoreCall<'_, LeaseId> {
+        async move {
+            let mut state = self.enter()?;
+            state.leases += 1;
+            Ok(LeaseId(state.leases))
+        }
+        .boxed_local()
+    }
+
+    fn keep(&self, _lease: LeaseId) -> StoreCall<'_, ()> {
+        async move { self.enter().map(|_| ()) }.boxed_local()
+    }
+
+    fn end(&self, _lease: LeaseId) -> StoreCall<'_, ()> {
+        async move { self.enter().map(|_| ()) }.boxed_local()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a StoreKey,
+        value: SmolStr,
+        _lease: LeaseId,
+    ) -> StoreCall<'a, StoreRevision> {
+        async move {
+            drop(self.enter()?);
+            Ok(StoreRevision(self.store.set(&key.0, Some(&value))))
+        }
+        .boxed_local()
+    }
+}
