--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -9,7 +9,7 @@
 use support::fixture::{list_server, served, wait_until, work};
 use testkit::cases;
 
-/// A request to `/work/STEP/` that must not repeat: its status, and how often it ran.
+/// A request that must not repeat, to the route `work`: its status, and how often it ran.
 fn check_work(step: &str, status: u16, runs: usize) {
     let (_store, server, instance) = served();
     let answer = work(&instance, step, "id-1");
