Read decision lines: explain a request, count failures by cause, list lines

The operators' tool reads the logs of any number of instances from files or the standard input. Broken lines are counted and passed over.

--- /dev/null
+++ b/crates/logbook/src/lib.rs
@@ -0,0 +1,13 @@
+//! Reads the decision lines that instances write, of one or many, and tells from them what happened
+//! to a request and why requests failed.
+//!
+//! Everything is read once and in order, so that a log of any length can be piped in; memory grows
+//! with what is told, not with what is read.
+
+mod line;
+mod story;
+mod summary;
+
+pub use line::{LineFilter, LogLine, ReadTally, read_lines};
+pub use story::{RequestStory, StoryBuilder};
+pub use summary::{FailureSummary, SummaryRow};
--- a/crates/programs/src/bin/lacewingctl.rs
+++ b/crates/programs/src/bin/lacewingctl.rs
@@ -1,27 +1,31 @@
 //! The operators' tool.
 
-use anyhow::{Result, bail};
+use anyhow::{Context, Result, bail};
 use bpaf::Bpaf;
+use logbook::LineFilter;
 use model::operator::CommandAnswer;
+use programs::logs::{LogReport, explain_request, list_lines, summarize_failures};
 use programs::operator::{OperatorClient, render_answer};
 use smol_str::SmolStr;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use timeline::ring::merge_events;
 
-/// lacewingctl: changes and shows the configuration of lacewingshelf.
+/// lacewingctl: changes and shows the configuration of lacewingshelf, and reads the logs of its
+/// instances.
 ///
 /// Exit codes: 0 done, 1 not done, 3 accepted but not confirmed in force everywhere, 4 not known.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 struct ToolOptions {
-    /// Operators' port of any instance
+    /// Operators' port of any instance; for run and timeline
     #[bpaf(argument("ADDRESS"))]
-    instance: SocketAddr,
-    /// Secret that operators share with the instances
+    instance: Option<SocketAddr>,
+    /// Secret that operators share with the instances; for run and timeline
     #[bpaf(argument("TOKEN"), env("LACEWING_TOKEN"))]
-    token: SmolStr,
+    token: Option<SmolStr>,
     /// Print JSON
     json: bool,
     #[bpaf(external)]
@@ -59,6 +63,68 @@
         #[bpaf(argument("COUNT"), fallback(200))]
         limit: usize,
     },
+    /// Tell what happened to a request, from the logs of instances
+    #[bpaf(command)]
+    Explain {
+        /// Id of the request
+        #[bpaf(positional("REQUEST"))]
+        request: SmolStr,
+        /// Logs; without any, the standard input
+        #[bpaf(positional("LOG"))]
+        logs: Vec<PathBuf>,
+    },
+    /// Count failed requests by cause, from the logs of instances
+    #[bpaf(command)]
+    Failures {
+        /// Logs; without any, the standard input
+        #[bpaf(positional("LOG"))]
+        logs: Vec<PathBuf>,
+    },
+    /// Show lines of the logs of instances in the order of their times
+    #[bpaf(command)]
+    Lines {
+        /// Only lines on this request
+        #[bpaf(argument("REQUEST"))]
+        request: Option<SmolStr>,
+        /// Only lines of this instance
+        #[bpaf(argument("NAME"))]
+        only: Option<SmolStr>,
+        /// Only lines of this kind
+        #[bpaf(argument("EVENT"))]
+        event: Option<SmolStr>,
+        /// Only lines at or after this time, in seconds since 1970
+        #[bpaf(argument("SECONDS"))]
+        since: Option<f64>,
+        /// Only lines at or before this time, in seconds since 1970
+        #[bpaf(argument("SECONDS"))]
+        until: Option<f64>,
+        /// Logs; without any, the standard input
+        #[bpaf(positional("LOG"))]
+        logs: Vec<PathBuf>,
+    },
+}
+
+impl ToolOptions {
+    fn access(&self) -> Result<(SocketAddr, SmolStr)> {
+        let instance = self.instance.context("this command needs --instance ADDRESS")?;
+        let token = self.token.clone();
+        Ok((instance, token.context("this command needs --token TOKEN or LACEWING_TOKEN")?))
+    }
+
+    fn print(&self, report: &LogReport) -> Result<ExitCode> {
+        if self.json {
+            println!("{}", serde_json::to_string_pretty(&report.json)?);
+        } else {
+            print!("{}", report.text);
+        }
+        if report.tally.skipped > 0 {
+            eprintln!(
+                "{} lines read, {} passed over since they can't be read",
+                report.tally.lines, report.tally.skipped
+            );
+        }
+        Ok(if report.is_found { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    }
 }
 
 fn main() -> ExitCode {
@@ -80,9 +146,10 @@
 }
 
 async fn run(options: &ToolOptions) -> Result<ExitCode> {
-    let client = OperatorClient::new(options.instance, options.token.clone());
     match &options.tool_action {
         ToolAction::Run { id, text } => {
+            let (instance, token) = options.access()?;
+            let client = OperatorClient::new(instance, token);
             let text = match text {
                 Some(text) => text.clone(),
                 None => std::io::read_to_string(std::io::stdin().take(1024 * 1024))?,
@@ -106,7 +173,21 @@
             if let Some(until) = until {
                 query.push_str(&format!("&until_us={until}"));
             }
-            timeline(options, &client, &query, only.as_deref()).await
+            timeline(options, &query, only.as_deref()).await
+        }
+        ToolAction::Explain { request, logs } => {
+            options.print(&explain_request(request.clone(), logs)?)
+        }
+        ToolAction::Failures { logs } => options.print(&summarize_failures(logs)?),
+        ToolAction::Lines { request, only, event, since, until, logs } => {
+            let filter = LineFilter {
+                request: request.clone(),
+                instance: only.clone(),
+                event: event.clone(),
+                since: *since,
+                until: *until,
+            };
+            options.print(&list_lines(&filter, logs)?)
         }
     }
 }
@@ -138,19 +219,16 @@
     Ok(known)
 }
 
-async fn timeline(
-    options: &ToolOptions,
-    client: &OperatorClient,
-    query: &str,
-    only: Option<&str>,
-) -> Result<ExitCode> {
+async fn timeline(options: &ToolOptions, query: &str, only: Option<&str>) -> Result<ExitCode> {
+    let (instance, token) = options.access()?;
+    let client = OperatorClient::new(instance, token.clone());
     let mut lists = Vec::new();
     let mut silent = Vec::new();
-    for instance in known_instances(client).await? {
+    for instance in known_instances(&client).await? {
         if only.is_some_and(|only| only != instance.name) {
             continue;
         }
-        let client = OperatorClient::new(instance.operators, options.token.clone());
+        let client = OperatorClient::new(instance.operators, token.clone());
         match client.timeline(query).await {
             Ok(events) => lists.push(events),
             Err(_) => silent.push(instance.name),
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod demo;
 pub mod load;
+pub mod logs;
 pub mod operator;
