--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -16,9 +16,15 @@
 }
 
 impl HomePolicy {
-    /// The number of homes for a number of backend servers.
-    pub fn home_count(&self, servers: usize) -> usize {
-        self.homes_min.max(servers.div_ceil(self.servers_per_home.max(1)))
+    /// The number of homes for a number of backend servers in a number of data centres. Beyond the
+    /// fewest it is a multiple of the data centres, so that each has its own homes and few requests
+    /// leave their data centre.
+    pub fn home_count(&self, servers: usize, data_centres: usize) -> usize {
+        let needed = servers.div_ceil(self.servers_per_home.max(1));
+        if needed <= self.homes_min {
+            return self.homes_min;
+        }
+        needed.next_multiple_of(data_centres.max(1))
     }
 }
 
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -157,15 +157,17 @@
     assert_eq!(names(rank_members(&views)), names(rank_members(&reversed)));
 }
 
-fn check_home_count(servers: usize, expected: usize) {
-    let policy = HomePolicy { homes_min: 2, servers_per_home: 40 };
-    assert_eq!(policy.home_count(servers), expected);
+fn check_home_count(servers: usize, data_centres: usize, expected: usize) {
+    let policy = HomePolicy { homes_min: 2, servers_per_home: 80 };
+    assert_eq!(policy.home_count(servers, data_centres), expected);
 }
 
 cases! { check_home_count {
-    none_known: (0, 2);
-    small_fleet: (34, 2);
-    larger_fleet: (189, 5);
+    none_known: (0, 0, 2);
+    small_fleet: (34, 4, 2);
+    larger_fleet: (189, 4, 4);
+    one_data_centre: (189, 1, 3);
+    two_year_size: (1_000, 7, 14);
 } }
 
 fn check_duty(rank: usize, age_ms: u64, all_lost: bool, expected: WatchDuty) {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -3,11 +3,13 @@
 
 use crate::settings_file::GatewaySettings;
 use fleet::{
-    BeatMessage, ChangeBatch, MemberRecord, MemberTable, MemberView, PullAnswer, StoreChange,
-    StoreReplica, choose_homes, choose_scouts,
+    BeatMessage, ChangeBatch, HomePolicy, MemberRecord, MemberTable, MemberView, PullAnswer,
+    StoreChange, StoreReplica, choose_homes, choose_scouts,
 };
-use model::{ConfigVersion, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision};
-use std::collections::HashMap;
+use model::{
+    ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
+};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -61,8 +63,11 @@
     }
 
     /// Brings ranking and homes up to date. Gives whether the homes changed.
-    pub fn refresh(&mut self, now: MonoTime, home_count: usize) -> bool {
+    pub fn refresh(&mut self, now: MonoTime, policy: HomePolicy, servers: usize) -> bool {
         self.views = self.members.views(now);
+        let centres: HashSet<&DataCentre> =
+            self.views.iter().map(|view| &view.record.data_centre).collect();
+        let home_count = policy.home_count(servers, centres.len());
         let ranked: Vec<&MemberView> = self.views.iter().collect();
         let homes: Vec<MemberRecord> =
             choose_homes(&ranked, home_count).into_iter().map(|view| view.record.clone()).collect();
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -133,11 +133,11 @@
 pub(crate) fn refresh_fleet(state: &Rc<GatewayState>) {
     let now = state.now();
     let servers = state.queue().picture.servers().count();
-    let count = state.settings().homes.home_count(servers);
+    let policy = state.settings().homes;
     let mut fleet = state.fleet();
     let is_ready = state.is_ready();
     fleet.members.set_ready(is_ready);
-    if !fleet.refresh(now, count) {
+    if !fleet.refresh(now, policy, servers) {
         return;
     }
     let homes: Vec<SmolStr> =
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -75,7 +75,7 @@
     let seeds = reader.list("peers", "seeds", address);
     let is_first_start = reader.with_default("peers", "first_start", "true or false", false);
     let homes_min = reader.with_default("homes", "count", "a number", 2_usize);
-    let servers_per_home = reader.with_default("homes", "servers", "a number", 40_usize);
+    let servers_per_home = reader.with_default("homes", "servers", "a number", 80_usize);
     let keep_s = reader.with_default("directory", "keep_s", "seconds", 1.5_f64);
     let keep_max_s = reader.with_default("directory", "keep_max_s", "seconds", 5.0_f64);
     let stop_s = reader.with_default("stop", "grace_s", "seconds", 6.0_f64);
