Let one instance list the others, read first copies cheaply, and pass changes on by data centre

Ruled out: first copies from the seeds (a copy that crosses between data centres is priced above a cheap read). Changes: - The first home, or the first seed while no home is known, writes the records of many in one call under one lease; records of a restarted process stay, so a restart writes nothing. Leases are not renewed; instances announce themselves again. - The first copy is a read that may be old; the watchers confirm it at once. - A change goes to the homes, to the scouts and to the watcher's data centre, and from each scout to its own. Who is behind asks its own data centre first. - Heartbeats of a newer run count without a record, since the store now lists earlier runs; a clock that went back between runs no longer makes an instance unheard. - The directory answers only with a copy of the store: heartbeats alone named one home to all callers.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,8 @@
 mod home;
 mod member;
 mod record;
+mod registrar;
+mod relay;
 mod replica;
 mod watch;
 
@@ -17,5 +19,7 @@
 pub use home::{HomePolicy, choose_homes, choose_scouts, rank_members};
 pub use member::{MemberTable, MemberView};
 pub use record::{MemberRecord, RecordDecoder, StoreRecord};
+pub use registrar::{ANNOUNCE_SPAN, BATCH_MAX, LEASE_SPAN, MemberRegistrar};
+pub use relay::{ChangeOrigin, RelayView};
 pub use replica::{ReplicaGap, StoreChange, StoreReplica};
 pub use watch::{WatchDuty, WatchInputs, watch_duty};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -3,7 +3,7 @@
 use crate::datagram::BeatMessage;
 use crate::home::rank_members;
 use crate::record::MemberRecord;
-use model::{DataCentre, IncarnationId, InstanceName, MonoTime};
+use model::{DataCentre, IncarnationId, InstanceName, MonoTime, StoreRevision};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -35,6 +35,8 @@
 #[derive(Debug, Clone)]
 pub struct MemberTable {
     this: MemberRecord,
+    /// The run of this instance that the store lists.
+    listed_run: Option<IncarnationId>,
     is_ready: bool,
     members: BTreeMap<InstanceName, MemberState>,
     senders: usize,
@@ -43,7 +45,7 @@
 impl MemberTable {
     /// Starts with this instance alone. The first `senders` usable members send heartbeats to all.
     pub fn new(this: MemberRecord, senders: usize) -> Self {
-        Self { this, is_ready: false, members: BTreeMap::new(), senders }
+        Self { this, listed_run: None, is_ready: false, members: BTreeMap::new(), senders }
     }
 
     /// This instance.
@@ -51,6 +53,18 @@
         &self.this
     }
 
+    /// The run of this instance that the store lists, of this process or an earlier one.
+    pub fn listed_run(&self) -> Option<IncarnationId> {
+        self.listed_run
+    }
+
+    /// Makes this run newer than an earlier one.
+    pub fn outlive(&mut self, earlier: IncarnationId) {
+        if self.this.incarnation <= earlier {
+            self.this.incarnation = IncarnationId(earlier.0 + 1);
+        }
+    }
+
     /// Says whether this instance takes callers.
     pub fn set_ready(&mut self, is_ready: bool) {
         self.is_ready = is_ready;
@@ -68,6 +82,7 @@
         }
         for record in records {
             if record.name == self.this.name {
+                self.listed_run = Some(record.incarnation);
                 continue;
             }
             let state = self.members.entry(record.name.clone()).or_insert_with(|| MemberState {
@@ -85,20 +100,30 @@
     }
 
     /// Takes note of a heartbeat. Gives whether the sender was unknown or had counted as silent. One
-    /// of a run that is not known and brings no record is passed over.
+    /// of an unknown instance that brings no record is passed over, and one of an earlier run while
+    /// the later one is heard.
     pub fn record_beat(&mut self, now: MonoTime, beat: BeatMessage) -> bool {
         if beat.name == self.this.name {
             return false;
         }
-        let known = self.members.get(&beat.name).map(|state| state.record.incarnation);
-        if known.is_some_and(|known| known > beat.incarnation) {
+        let known = self.members.get(&beat.name);
+        let is_other_run = known.is_none_or(|known| known.record.incarnation != beat.incarnation);
+        if let Some(known) = known
+            && known.record.incarnation > beat.incarnation
+            && known.heard.as_ref().is_some_and(|(at, _)| now.since(*at) <= SILENCE_SPAN)
+        {
             return false;
         }
-        if known != Some(beat.incarnation) {
-            let Some(record) = beat.record.clone() else {
+        if is_other_run {
+            // A process that started again has the addresses of the one before.
+            let known_record = known.map(|known| MemberRecord {
+                incarnation: beat.incarnation,
+                ..known.record.clone()
+            });
+            let Some(record) = beat.record.clone().or(known_record) else {
                 return false;
             };
-            let is_listed = self.members.get(&beat.name).is_some_and(|state| state.is_listed);
+            let is_listed = known.is_some_and(|known| known.is_listed);
             let state = MemberState { record, is_listed, heard: None, expected_since: None };
             self.members.insert(beat.name.clone(), state);
         }
@@ -175,6 +200,12 @@
         })
     }
 
+    /// Instances whose latest heartbeat tells of changes after a revision.
+    pub fn ahead_of(&self, now: MonoTime, after: StoreRevision) -> Vec<MemberRecord> {
+        let newer = self.recent_beats(now).filter(|(_, beat)| beat.as_of > after);
+        newer.map(|(record, _)| record.clone()).collect()
+    }
+
     /// Records of all other instances that are known.
     pub fn others(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values().map(|state| &state.record)
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -126,6 +126,34 @@
     assert!(table.views(at(3)).iter().any(|v| v.record.name == record(3).name && !v.is_usable));
 }
 
+/// Cause traced: after a restart of the whole fleet the store lists the runs before it, and members
+/// counted as silent until a heartbeat with their record came seconds later.
+#[test]
+fn a_heartbeat_of_a_newer_run_counts_without_its_record() {
+    let mut table = table();
+    let newer = MemberRecord { incarnation: IncarnationId(2), ..record(3) };
+    table.record_beat(at(0), BeatMessage { record: None, ..beat(newer, true) });
+    assert_eq!(table.incarnation(&record(3).name), Some(IncarnationId(2)));
+}
+
+#[test]
+fn a_run_with_an_earlier_clock_counts_once_the_later_one_is_silent() {
+    let mut table = table();
+    let later = MemberRecord { incarnation: IncarnationId(9), ..record(3) };
+    table.record_beat(at(0), beat(later, true));
+    table.record_beat(at(500), beat(record(3), true));
+    assert_eq!(table.incarnation(&record(3).name), Some(IncarnationId(9)));
+    table.record_beat(at(1_000), beat(record(3), true));
+    assert_eq!(table.incarnation(&record(3).name), Some(IncarnationId(1)));
+}
+
+#[test]
+fn a_run_outlives_the_one_that_the_store_lists() {
+    let mut table = table();
+    table.outlive(table.listed_run().expect("listed"));
+    assert_eq!(table.this().incarnation, IncarnationId(2));
+}
+
 #[test]
 fn all_but_this_one_lost_leaves_this_one() {
     let mut table = table();
--- /dev/null
+++ b/crates/fleet/tests/registrar.rs
@@ -0,0 +1,93 @@
+//! Which announcements are written when, and under which lease.
+
+use fleet::{ANNOUNCE_SPAN, BATCH_MAX, LEASE_SPAN, MemberRecord, MemberRegistrar};
+use model::{IncarnationId, MonoTime};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime(millis * 1_000)
+}
+
+fn record(index: u16, incarnation: u64) -> MemberRecord {
+    let address = SocketAddr::from(([127, 0, 0, 1], index));
+    MemberRecord {
+        name: format!("m{index}").parse().expect("name"),
+        incarnation: IncarnationId(incarnation),
+        data_centre: "north".parse().expect("name"),
+        caller_address: address,
+        peer_address: address,
+        datagram_address: address,
+        capacity: 1,
+    }
+}
+
+#[test]
+fn instances_that_start_together_are_written_together() {
+    let mut registrar = MemberRegistrar::default();
+    assert_eq!(registrar.due_in(at(0)), None);
+    (1..=20).for_each(|index| registrar.take(at(u64::from(index)), record(index, 1), false));
+    assert!(registrar.next_batch(at(150)).is_empty());
+    let batch = registrar.next_batch(at(201));
+    assert_eq!(batch.len(), 20);
+    registrar.written(&batch);
+    assert_eq!(registrar.due_in(at(202)), None);
+}
+
+#[test]
+fn more_than_one_write_holds_go_in_several_at_once() {
+    let mut registrar = MemberRegistrar::default();
+    (1..=106).for_each(|index| registrar.take(at(1), record(index, 1), false));
+    let mut writes = 0;
+    while let batch = registrar.next_batch(at(201))
+        && !batch.is_empty()
+    {
+        assert!(batch.len() <= BATCH_MAX);
+        registrar.written(&batch);
+        writes += 1;
+    }
+    assert_eq!(writes, 4);
+}
+
+#[test]
+fn repeated_announcements_wait_for_others() {
+    let mut registrar = MemberRegistrar::default();
+    registrar.take(at(0), record(1, 1), true);
+    assert!(registrar.next_batch(at(5_000)).is_empty());
+    registrar.take(at(5_000), record(2, 1), false);
+    assert_eq!(registrar.next_batch(at(5_200)).len(), 2);
+}
+
+#[test]
+fn a_newer_run_that_comes_while_one_is_written_is_written_too() {
+    let mut registrar = MemberRegistrar::default();
+    registrar.take(at(0), record(1, 1), false);
+    let batch = registrar.next_batch(at(300));
+    registrar.take(at(301), record(1, 2), false);
+    registrar.written(&batch);
+    assert!(registrar.is_waiting(&record(1, 1).name));
+    assert_eq!(registrar.next_batch(at(600))[0].incarnation, IncarnationId(2));
+    registrar.take(at(601), record(1, 1), false);
+    assert_eq!(registrar.next_batch(at(900))[0].incarnation, IncarnationId(2));
+}
+
+#[test]
+fn a_record_outlives_a_missed_announcement() {
+    let mut registrar = MemberRegistrar::default();
+    assert!(registrar.needs_lease(at(0)));
+    registrar.set_lease(Some(at(0)));
+    let last_use = (0..1_000).map(|s| at(s * 1_000)).take_while(|now| !registrar.needs_lease(*now));
+    let longest = last_use.last().expect("the lease is used").since(at(0));
+    assert!(LEASE_SPAN - longest > 2 * ANNOUNCE_SPAN, "{longest:?}");
+    registrar.set_lease(None);
+    assert!(registrar.needs_lease(at(1)));
+}
+
+#[test]
+fn what_is_given_up_is_not_written() {
+    let mut registrar = MemberRegistrar::default();
+    registrar.take(at(0), record(1, 1), false);
+    registrar.give_up();
+    assert!(registrar.next_batch(at(1_000)).is_empty());
+    assert_eq!(registrar.due_in(at(1_000)), None::<Duration>);
+}
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -1,98 +1,234 @@
-//! Keeps this instance announced in the store, so that the others know of it.
+//! Keeps this instance listed in the store, so that the others know of it, and lists others.
+//!
+//! An instance asks the first home to list it, or a seed while it knows no home, and writes its own
+//! record only if nobody does.
 
+use crate::peer_port::ask_listing;
 use crate::state::GatewayState;
-use fleet::MemberRecord;
-use model::Millis;
+use crate::store_sync::pull_from;
+use fleet::{ANNOUNCE_SPAN, LEASE_SPAN, MemberRecord};
+use model::MonoTime;
 use rand::RngExt;
 use smol_str::format_smolstr;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use store::{LeaseId, StoreError, StoreKey};
+use store::{ItemWrite, LeaseId, StoreError, StoreKey};
+use tokio::sync::oneshot;
 
-/// How long the announcement of an instance outlives it.
-const LEASE_SPAN: Millis = Millis(120_000);
-/// Time between renewals of the announcement; three fit its life.
-const RENEW_SPAN: Duration = Duration::from_secs(38);
-/// Time between looks at whether the announcement is still there.
+/// Time between looks at whether the record is still there.
 const LISTED_TICK: Duration = Duration::from_secs(2);
-/// First and longest pause between tries to announce the instance.
+/// First and longest pause between tries to be listed.
 const ANNOUNCE_FIRST: Duration = Duration::from_millis(100);
 const ANNOUNCE_MAX: Duration = Duration::from_secs(4);
+/// Rounds in which others did not list this instance before it does so itself. The first fail when
+/// many instances start together, some a little earlier than the others.
+const PATIENT_ROUNDS: u32 = 2;
+/// Time in which a record that was written reaches this instance.
+const ARRIVAL_SPAN: Duration = Duration::from_millis(600);
+/// Time between looks for it.
+const ARRIVAL_TICK: Duration = Duration::from_millis(60);
 
-/// Keeps this instance announced until the process stops.
+/// Keeps this instance listed until the process stops.
 pub(crate) async fn run_announcement(state: Rc<GatewayState>) {
-    let mut lease = None;
     let mut pause = ANNOUNCE_FIRST;
+    let mut rounds = 0;
+    let mut announced_at = state.now();
+    state.first_copy.notified().await;
     while !state.is_stopping() {
-        let result = match lease {
-            None => announce(&state).await.map(Some),
-            Some(held) => renew(&state, held).await,
-        };
-        match result {
-            Ok(held) => {
-                pause = ANNOUNCE_FIRST;
-                lease = if held.is_some() && stays_listed(&state).await { held } else { None };
-            }
-            Err(_) => {
-                let wait = pause.mul_f64(rand::rng().random_range(0.7..1.3));
-                tokio::time::sleep(wait).await;
-                pause = (pause * 2).min(ANNOUNCE_MAX);
+        let is_listed = is_listed(&state);
+        let is_old = state.now().since(announced_at) > ANNOUNCE_SPAN;
+        let must_announce = if is_listed { is_old } else { is_current(&state) };
+        if !must_announce {
+            tokio::time::sleep(LISTED_TICK).await;
+            continue;
+        }
+        announced_at = state.now();
+        if announce(&state, is_listed, rounds).await {
+            pause = ANNOUNCE_FIRST;
+            rounds = 0;
+        } else {
+            rounds += 1;
+            let wait = pause.mul_f64(rand::rng().random_range(0.7..1.3));
+            tokio::time::sleep(wait).await;
+            pause = (pause * 2).min(ANNOUNCE_MAX);
+        }
+    }
+}
+
+/// Whether the store has a record of this instance, as far as is known here.
+pub(crate) fn is_listed(state: &GatewayState) -> bool {
+    let key = state.dialect.member_key(state.settings().name.as_str());
+    state.fleet_ref().replica.items().any(|(known, _)| *known == key)
+}
+
+/// Whether the replica is new enough to tell that a record is missing.
+fn is_current(state: &GatewayState) -> bool {
+    let fleet = state.fleet_ref();
+    fleet.confirmed_at.is_none() || fleet.confirmed_age(state.now()) < LISTED_TICK
+}
+
+/// Gets this instance listed, in a round after some that failed. Gives whether it is.
+async fn announce(state: &Rc<GatewayState>, is_listed: bool, failed_rounds: u32) -> bool {
+    let record = state.fleet_ref().members.this().clone();
+    let others = registrars(state);
+    let lists_itself = others.is_empty() || failed_rounds >= PATIENT_ROUNDS;
+    for registrar in others {
+        match ask_listing(state, registrar, &record, is_listed).await {
+            Ok(()) if is_listed || arrives(state, registrar).await => return true,
+            Ok(()) => state.log.state("listing_missing", &format_smolstr!("at {registrar}")),
+            Err(cause) => {
+                state.log.state("listing_failed", &format_smolstr!("{registrar}: {cause:#}"));
             }
         }
     }
-    if let Some(lease) = lease {
-        let store = Rc::clone(&state.store.borrow());
-        let result = store.end(lease).await;
-        state.metrics.store_call("lease", result.is_ok());
+    let listing = lists_itself.then(|| list_record(state, record, is_listed));
+    match listing {
+        Some(listing) => is_listed || listing.await.unwrap_or(false),
+        None => false,
     }
 }
 
-/// Ends when the announcement is to be renewed, or is gone, or the process stops. Gives whether it is
-/// still there.
-async fn stays_listed(state: &GatewayState) -> bool {
-    let until = state.now().after(RENEW_SPAN);
-    while state.now() < until && !state.is_stopping() {
-        tokio::time::sleep(LISTED_TICK).await;
-        if is_unlisted(state) {
-            return false;
-        }
+/// Takes a record to be written to the store. The receiver tells whether the store took it.
+pub(crate) fn list_record(
+    state: &GatewayState,
+    record: MemberRecord,
+    is_listed: bool,
+) -> oneshot::Receiver<bool> {
+    let (told, listing) = oneshot::channel();
+    state.listing_waiters.borrow_mut().push((record.name.clone(), told));
+    let now = state.now();
+    state.registrar.borrow_mut().take(now, record, is_listed);
+    state.registering.notify_one();
+    listing
+}
+
+/// Tells those whose records do not wait any more how that went.
+fn tell_waiters(state: &GatewayState, is_written: bool) {
+    let registrar = state.registrar.borrow();
+    let mut waiters = state.listing_waiters.borrow_mut();
+    let (waiting, done) = std::mem::take(&mut *waiters)
+        .into_iter()
+        .partition::<Vec<_>, _>(|(name, _)| registrar.is_waiting(name));
+    *waiters = waiting;
+    for (_, told) in done {
+        // Whoever asked may have given up waiting.
+        let _ = told.send(is_written);
     }
-    true
 }
 
-/// Whether the store no longer has the announcement, as far as is known here.
-fn is_unlisted(state: &GatewayState) -> bool {
-    let key = state.dialect.member_key(state.settings().name.as_str());
+/// Who may list this instance, the best one first; none if this instance lists others itself.
+fn registrars(state: &GatewayState) -> Vec<SocketAddr> {
+    let settings = state.settings();
     let fleet = state.fleet_ref();
-    let is_current = fleet.confirmed_age(state.now()) < LISTED_TICK;
-    is_current && !fleet.replica.items().any(|(known, _)| *known == key)
+    if fleet.home_place() == Some(0) && fleet.usable_count() > 1 {
+        return Vec::new();
+    }
+    let own = settings.peer_address;
+    let heard = |name: &model::InstanceName| {
+        fleet.members.recent_beats(state.now()).any(|(record, _)| record.name == *name)
+    };
+    let home = fleet.homes().iter().find(|home| heard(&home.name)).map(|home| home.peer_address);
+    // The first seed lists those that start together; the seeds after it stand in for it.
+    let seeds = settings.seeds.iter().copied().take_while(|seed| *seed != own);
+    home.into_iter().chain(seeds).collect()
 }
 
-async fn announce(state: &Rc<GatewayState>) -> Result<LeaseId, StoreError> {
-    let store = Rc::clone(&state.store.borrow());
-    let lease = store.grant(LEASE_SPAN).await;
-    state.metrics.store_call("lease", lease.is_ok());
-    let lease = lease?;
-    let record: MemberRecord = state.fleet_ref().members.this().clone();
-    let value = serde_json::to_string(&record)
-        .map_err(|cause| StoreError::NotApplied(format_smolstr!("{cause}")))?;
-    let key = StoreKey(state.dialect.member_key(record.name.as_str()).into());
-    let written = store.put(&key, value.into(), lease).await;
-    state.metrics.store_call("write", written.is_ok());
-    written.map(|_| lease)
+/// Waits for the record that a registrar wrote. Gives whether it is there.
+async fn arrives(state: &Rc<GatewayState>, registrar: SocketAddr) -> bool {
+    let until = state.now().after(ARRIVAL_SPAN);
+    while state.now() < until {
+        if is_listed(state) {
+            return true;
+        }
+        if let Err(cause) = pull_from(state, registrar).await {
+            state.log.state("pull_failed", &format_smolstr!("{registrar}: {cause:#}"));
+        }
+        if is_listed(state) {
+            return true;
+        }
+        tokio::time::sleep(ARRIVAL_TICK).await;
+    }
+    false
 }
 
-/// Gives the lease, or none if it ended and the instance must be announced anew.
-async fn renew(state: &Rc<GatewayState>, lease: LeaseId) -> Result<Option<LeaseId>, StoreError> {
-    let store = Rc::clone(&state.store.borrow());
-    let result = store.keep(lease).await;
-    state.metrics.store_call("renewal", result.is_ok());
+/// Writes the records of instances that asked for it.
+pub(crate) async fn run_registrar(state: Rc<GatewayState>) {
+    let mut lease = None;
+    loop {
+        let due = state.registrar.borrow().due_in(state.now());
+        match due {
+            None => state.registering.notified().await,
+            Some(due) if due > Duration::ZERO => {
+                let _ = tokio::time::timeout(due, state.registering.notified()).await;
+            }
+            Some(_) => {
+                let result = write_batch(&state, &mut lease).await;
+                if let Err(cause) = &result {
+                    state.log.state("listing_unwritten", &format_smolstr!("{cause}"));
+                    state.registrar.borrow_mut().give_up();
+                }
+                tell_waiters(&state, result.is_ok());
+            }
+        }
+    }
+}
+
+async fn write_batch(state: &GatewayState, lease: &mut Option<LeaseId>) -> Result<(), StoreError> {
+    let now = state.now();
+    let batch = state.registrar.borrow().next_batch(now);
+    let result = match current_lease(state, lease, now).await {
+        Ok(held) => put_records(state, &batch, held).await,
+        Err(cause) => Err(cause),
+    };
     match result {
-        Ok(()) => Ok(Some(lease)),
-        Err(StoreError::LeaseLost) => {
-            state.log.state("announcement_lapsed", "");
-            Ok(None)
+        Ok(()) => {
+            state.registrar.borrow_mut().written(&batch);
+            state.has_registered.set(true);
+            Ok(())
+        }
+        Err(StoreError::LeaseLost) if lease.take().is_some() => {
+            state.log.state("lease_lost", "");
+            state.registrar.borrow_mut().set_lease(None);
+            Ok(())
         }
         Err(cause) => Err(cause),
     }
 }
+
+async fn current_lease(
+    state: &GatewayState,
+    lease: &mut Option<LeaseId>,
+    now: MonoTime,
+) -> Result<LeaseId, StoreError> {
+    if let Some(held) = lease
+        && !state.registrar.borrow().needs_lease(now)
+    {
+        return Ok(*held);
+    }
+    let store = Rc::clone(&state.store.borrow());
+    let granted = store.grant(LEASE_SPAN.into()).await;
+    state.metrics.store_call("lease", granted.is_ok());
+    let granted = granted?;
+    *lease = Some(granted);
+    state.registrar.borrow_mut().set_lease(Some(now));
+    Ok(granted)
+}
+
+async fn put_records(
+    state: &GatewayState,
+    batch: &[MemberRecord],
+    lease: LeaseId,
+) -> Result<(), StoreError> {
+    let mut writes = Vec::with_capacity(batch.len());
+    for record in batch {
+        let value = serde_json::to_string(record)
+            .map_err(|cause| StoreError::NotApplied(format_smolstr!("{cause}")))?;
+        let key = StoreKey(state.dialect.member_key(record.name.as_str()).into());
+        writes.push(ItemWrite { key, value: value.into() });
+    }
+    let store = Rc::clone(&state.store.borrow());
+    let written = store.put_all(writes, lease).await;
+    state.metrics.store_call("write", written.is_ok());
+    written.map(|_| ())
+}
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -3,8 +3,8 @@
 
 use crate::settings_file::GatewaySettings;
 use fleet::{
-    BeatMessage, ChangeBatch, HomePolicy, MemberRecord, MemberTable, MemberView, PullAnswer,
-    StoreChange, StoreReplica, choose_homes, choose_scouts,
+    BeatMessage, ChangeBatch, ChangeOrigin, HomePolicy, MemberRecord, MemberTable, MemberView,
+    PullAnswer, RelayView, StoreChange, StoreReplica, choose_homes, choose_scouts,
 };
 use model::{
     ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
@@ -22,6 +22,8 @@
     pub members: MemberTable,
     /// When the store last confirmed, as far as is known here, that the replica is the newest state.
     pub confirmed_at: Option<MonoTime>,
+    /// When a first copy of the store was taken that may be old.
+    pub copied_at: Option<MonoTime>,
     /// Whether this instance's own calls to the store fail.
     pub store_lost: bool,
     /// Whether this instance watches the store.
@@ -33,7 +35,9 @@
     pub vanished: HashMap<ServerKey, MonoTime>,
     views: Vec<MemberView>,
     homes: Vec<MemberRecord>,
-    is_scout: bool,
+    scouts: Vec<MemberRecord>,
+    /// Since when another instance is known to be ahead of the replica.
+    behind_since: Option<MonoTime>,
 }
 
 impl FleetState {
@@ -51,6 +55,7 @@
             replica: StoreReplica::default(),
             members: MemberTable::new(this, SENDERS),
             confirmed_at: None,
+            copied_at: None,
             store_lost: false,
             is_watching: false,
             trouble_at: None,
@@ -58,7 +63,8 @@
             vanished: HashMap::new(),
             views: Vec::new(),
             homes: Vec::new(),
-            is_scout: false,
+            scouts: Vec::new(),
+            behind_since: None,
         }
     }
 
@@ -71,13 +77,21 @@
         let ranked: Vec<&MemberView> = self.views.iter().collect();
         let homes: Vec<MemberRecord> =
             choose_homes(&ranked, home_count).into_iter().map(|view| view.record.clone()).collect();
-        let this = &self.members.this().name;
-        self.is_scout = choose_scouts(&ranked).iter().any(|scout| scout.record.name == *this);
+        self.scouts =
+            choose_scouts(&ranked).into_iter().map(|scout| scout.record.clone()).collect();
         let changed = homes != self.homes;
         self.homes = homes;
         changed
     }
 
+    /// Makes this run newer than the one that the store lists, also if the clock went back between
+    /// them.
+    pub fn outlive_listed_run(&mut self) {
+        if let Some(listed) = self.members.listed_run() {
+            self.members.outlive(listed);
+        }
+    }
+
     /// The homes, the first one first.
     pub fn homes(&self) -> &[MemberRecord] {
         &self.homes
@@ -100,12 +114,16 @@
 
     /// Whether this instance sends heartbeats to all.
     pub fn is_sender(&self) -> bool {
-        self.rank() < SENDERS || self.is_watching || self.is_scout
+        self.rank() < SENDERS || self.is_watching || self.is_scout()
     }
 
     /// Whether this instance checks the servers of its data centre for all homes.
     pub fn is_scout(&self) -> bool {
-        self.is_scout
+        self.relay_view().is_scout()
+    }
+
+    fn relay_view(&self) -> RelayView<'_> {
+        RelayView { this: self.members.this(), homes: &self.homes, scouts: &self.scouts }
     }
 
     /// Where reports on servers go: to all other homes.
@@ -125,6 +143,24 @@
         self.members.others().map(|record| record.datagram_address).collect()
     }
 
+    /// Where a change of the store goes.
+    pub fn change_targets(&self, origin: ChangeOrigin) -> Vec<SocketAddr> {
+        let view = self.relay_view();
+        let targets = self.members.others().filter(|member| view.is_target(member, origin));
+        targets.map(|member| member.datagram_address).collect()
+    }
+
+    /// Whom to ask for changes beyond the replica: one of those returned.
+    pub fn pull_sources(&mut self, now: MonoTime) -> Vec<SocketAddr> {
+        let ahead = self.members.ahead_of(now, self.replica.as_of());
+        if ahead.is_empty() {
+            self.behind_since = None;
+            return Vec::new();
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        self.relay_view().pull_sources(&ahead, now.since(since))
+    }
+
     /// Age of the newest confirmation by the store.
     pub fn confirmed_age(&self, now: MonoTime) -> Duration {
         self.confirmed_at.map_or(Duration::MAX, |at| now.since(at))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! Starts an instance and runs it to its end.
 
-use crate::announce::run_announcement;
+use crate::announce::{run_announcement, run_registrar};
 use crate::caller_port::answer_caller;
 use crate::dialect::WireDialect;
 use crate::peer_port::{answer_peer, open_socket, run_beats, run_datagrams};
@@ -80,6 +80,7 @@
     spawn_local(run_datagrams(Rc::clone(&state)));
     spawn_local(run_beats(Rc::clone(&state)));
     spawn_local(run_announcement(Rc::clone(&state)));
+    spawn_local(run_registrar(Rc::clone(&state)));
     spawn_local(run_sync(Rc::clone(&state)));
     spawn_local(run_queue(Rc::clone(&state)));
     spawn_local(run_prober(Rc::clone(&state)));
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -1,5 +1,6 @@
 //! Talks to other instances: datagrams for heartbeats and changes, HTTP for what was missed.
 
+use crate::announce::list_record;
 use crate::prober::take_loads;
 use crate::records::refresh_fleet;
 use crate::serve::{CallerAnswer, own_answer};
@@ -7,12 +8,14 @@
 use crate::store_sync::take_batch;
 use anyhow::{Context, anyhow};
 use bytes::Bytes;
-use fleet::{ChangeBatch, DATAGRAM_MAX_BYTES, LoadRow, PeerDatagram, PullAnswer, StoreChange};
+use fleet::{
+    ChangeBatch, ChangeOrigin, DATAGRAM_MAX_BYTES, LoadRow, MemberRecord, PeerDatagram, PullAnswer,
+};
 use http::{Request, StatusCode, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use link::ConnectionChoice;
-use model::{Millis, StoreRevision};
+use model::StoreRevision;
 use smol_str::format_smolstr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +30,12 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Path on which an instance tells what changed after a revision.
 const CHANGES_PATH: &str = "/v1/changes/";
+/// Path on which an instance asks another one to list it in the store.
+const LISTING_PATH: &str = "/v1/listing";
+/// How long the other one may take; it gathers announcements of several before it writes.
+const LISTING_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest announcement, in bytes.
+const LISTING_MAX_BYTES: usize = 4 * 1024;
 /// Rows on servers in one datagram.
 const LOAD_ROWS_MAX: usize = 120;
 
@@ -61,22 +70,20 @@
 }
 
 /// Passes changes on as they are seen. Long ones are only announced; the others fetch them.
-pub(crate) fn send_changes(
-    state: &GatewayState,
-    after: StoreRevision,
-    as_of: StoreRevision,
-    changes: Vec<StoreChange>,
-) {
-    let size: usize = changes
+pub(crate) fn send_changes(state: &GatewayState, origin: ChangeOrigin, batch: ChangeBatch) {
+    let size: usize = batch
+        .changes
         .iter()
         .map(|change| change.key.len() + change.value.as_ref().map_or(0, |value| value.len()) + 16)
         .sum();
     if size + 64 > DATAGRAM_MAX_BYTES {
-        send_beat(state, false);
+        if origin == ChangeOrigin::Store {
+            send_beat(state, false);
+        }
         return;
     }
-    let batch = ChangeBatch { after, as_of, confirmed_age: Millis(0), changes };
-    send_to_all(state, &PeerDatagram::Changes(batch));
+    let targets = state.fleet_ref().change_targets(origin);
+    send_to(state, &PeerDatagram::Changes(batch), &targets);
 }
 
 fn send_beat(state: &GatewayState, with_record: bool) {
@@ -84,6 +91,13 @@
     send_to_all(state, &PeerDatagram::Beat(beat));
 }
 
+/// Tells the data centre of this scout that it has changes to be fetched.
+pub(crate) fn tell_own_centre(state: &GatewayState) {
+    let targets = state.fleet_ref().change_targets(ChangeOrigin::Peer);
+    let beat = state.fleet_ref().beat(state.now(), false);
+    send_to(state, &PeerDatagram::Beat(beat), &targets);
+}
+
 /// Sends heartbeats.
 pub(crate) async fn run_beats(state: Rc<GatewayState>) {
     let mut sent = 0_u32;
@@ -160,12 +174,37 @@
     Ok(postcard::from_bytes(answer.body())?)
 }
 
+/// Asks another instance to list this one in the store. Returns when that is written, or accepted if
+/// this instance is listed already.
+pub(crate) async fn ask_listing(
+    state: &GatewayState,
+    registrar: SocketAddr,
+    record: &MemberRecord,
+    is_listed: bool,
+) -> anyhow::Result<()> {
+    let body = postcard::to_stdvec(&(record, is_listed))?;
+    let request = Request::post(LISTING_PATH)
+        .header(header::HOST, "peer")
+        .body(Full::new(Bytes::from(body)))?;
+    let deadline = Instant::now() + LISTING_TIMEOUT;
+    let answer =
+        state.peer_pool.exchange(registrar, request, ConnectionChoice::Pooled, deadline).await?;
+    match answer.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(anyhow!("status {status}")),
+    }
+}
+
 /// Answers other instances.
 pub(crate) async fn answer_peer(
     state: Rc<GatewayState>,
     request: Request<Incoming>,
 ) -> CallerAnswer {
-    let after = request.uri().path().strip_prefix(CHANGES_PATH).and_then(|text| text.parse().ok());
+    let path = request.uri().path();
+    if path == LISTING_PATH {
+        return list_other(&state, request.into_body()).await;
+    }
+    let after = path.strip_prefix(CHANGES_PATH).and_then(|text| text.parse().ok());
     let Some(after) = after else {
         return own_answer(StatusCode::NOT_FOUND, "no such path", None);
     };
@@ -175,3 +214,22 @@
         Err(cause) => own_answer(StatusCode::INTERNAL_SERVER_ERROR, &cause.to_string(), None),
     }
 }
+
+async fn list_other(state: &GatewayState, body: Incoming) -> CallerAnswer {
+    let Ok(body) = Limited::new(body, LISTING_MAX_BYTES).collect().await else {
+        return own_answer(StatusCode::BAD_REQUEST, "announcement cut or too long", None);
+    };
+    let Ok((record, is_listed)) = postcard::from_bytes::<(MemberRecord, bool)>(&body.to_bytes())
+    else {
+        return own_answer(StatusCode::BAD_REQUEST, "announcement malformed", None);
+    };
+    if state.is_stopping() || state.fleet_ref().store_lost {
+        return own_answer(StatusCode::SERVICE_UNAVAILABLE, "does not write to the store", None);
+    }
+    let listing = list_record(state, record, is_listed);
+    if is_listed || listing.await.unwrap_or(false) {
+        own_answer(StatusCode::OK, "listed", None)
+    } else {
+        own_answer(StatusCode::SERVICE_UNAVAILABLE, "the store did not take the record", None)
+    }
+}
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -30,8 +30,6 @@
     pub store_address: SocketAddr,
     /// Peer addresses of other instances, possibly out of date.
     pub seeds: Vec<SocketAddr>,
-    /// Whether the whole fleet starts for the first time, with no callers yet.
-    pub is_first_start: bool,
     /// What it can carry, in requests a second.
     pub capacity: u32,
     /// Most open files and connections.
@@ -73,7 +71,6 @@
     let metrics_address = reader.required("listen", "metrics", address);
     let store_address = reader.required("store", "address", address);
     let seeds = reader.list("peers", "seeds", address);
-    let is_first_start = reader.with_default("peers", "first_start", "true or false", false);
     let homes_min = reader.with_default("homes", "count", "a number", 2_usize);
     let servers_per_home = reader.with_default("homes", "servers", "a number", 80_usize);
     let keep_s = reader.with_default("directory", "keep_s", "seconds", 1.5_f64);
@@ -96,7 +93,6 @@
             metrics_address: metrics_address?,
             store_address: store_address?,
             seeds,
-            is_first_start,
             capacity: capacity_of(cores, link_mbps, memory_mb),
             descriptors,
             memory_mb,
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -6,7 +6,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use model::Millis;
+use model::{Millis, StoreRevision};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -21,6 +21,11 @@
     if request.uri().path() != state.dialect.directory_path() {
         return own_answer(StatusCode::NOT_FOUND, "no such path", None);
     }
+    // Heartbeats alone tell of few instances, and all callers would be sent there.
+    if state.fleet_ref().replica.as_of() == StoreRevision(0) {
+        let text = "no copy of the store yet";
+        return own_answer(StatusCode::SERVICE_UNAVAILABLE, text, Some(UNKNOWN_RETRY));
+    }
     let mut addresses: Vec<SocketAddr> =
         state.fleet_ref().homes().iter().map(|home| home.caller_address).collect();
     if addresses.is_empty() && state.is_ready() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,9 +6,9 @@
 use crate::metrics::GatewayMetrics;
 use crate::settings_file::GatewaySettings;
 use balance::{ExpectedFinish, QueueDecision, QueuePolicy, RequestPlace, RequestQueue};
-use fleet::RecordDecoder;
+use fleet::{MemberRegistrar, RecordDecoder};
 use link::{LinkPool, LinkPoolBuilder};
-use model::{IncarnationId, MonoTime, ProcessClock};
+use model::{IncarnationId, InstanceName, MonoTime, ProcessClock};
 use routing::{RouteTable, SplitCursor};
 use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::collections::HashMap;
@@ -63,6 +63,16 @@
     pub phase: Cell<RunPhase>,
     pub body_bytes: Cell<usize>,
     pub connections: Cell<usize>,
+    /// Instances that asked this one to list them.
+    pub registrar: RefCell<MemberRegistrar>,
+    /// Wakes the task that lists them.
+    pub registering: Notify,
+    /// Who waits for being listed; told whether the store took the record.
+    pub listing_waiters: RefCell<Vec<(InstanceName, oneshot::Sender<bool>)>>,
+    /// Whether this instance has listed others.
+    pub has_registered: Cell<bool>,
+    /// Tells that there is a first copy of the store, or that there is none to be had now.
+    pub first_copy: Notify,
     /// Wakes the task that follows the store.
     pub sync: Notify,
     /// Wakes the task that sends heartbeats.
@@ -114,6 +124,11 @@
             phase: Cell::new(RunPhase::Running),
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
+            registrar: RefCell::default(),
+            registering: Notify::new(),
+            listing_waiters: RefCell::default(),
+            has_registered: Cell::new(false),
+            first_copy: Notify::new(),
             sync: Notify::new(),
             beat: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -1,16 +1,18 @@
 //! Keeps the replica of the store up to date, by watching or from other instances.
 
-use crate::peer_port::{pull_changes, send_changes};
+use crate::announce::is_listed;
+use crate::peer_port::{pull_changes, send_changes, tell_own_centre};
 use crate::records::{apply_records, refresh_fleet};
 use crate::state::GatewayState;
-use fleet::{StoreChange, WatchDuty, WatchInputs, watch_duty};
+use fleet::{ChangeBatch, ChangeOrigin, StoreChange, WatchDuty, WatchInputs, watch_duty};
 use model::{Millis, StoreRevision};
 use rand::RngExt;
+use rand::seq::SliceRandom;
 use smol_str::format_smolstr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use store::{StoreError, StoreItems, WatchAnswer};
+use store::{ReadFreshness, StoreError, StoreItems, WatchAnswer};
 
 /// How long a watch of an idle store waits. A silent connection shows after this.
 const WATCH_WAIT: Millis = Millis(1_000);
@@ -23,22 +25,22 @@
 /// Pause after a failed call, doubled up to the longest.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_millis(800);
-/// How long a start waits for a copy of the store from a seed before it reads the store itself.
-const SEED_PATIENCE: Duration = Duration::from_millis(700);
-/// Pause between questions to the seeds.
-const SEED_TICK: Duration = Duration::from_millis(100);
-/// Pause after the first read, in which other instances that start at the same time announce
-/// themselves.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-/// Spread of that time over the instances.
-const FIRST_SPREAD_MS: u64 = 200;
+/// How long an instance that the store does not list waits before it watches: until then it knows few
+/// others and would take itself for one of the watchers.
+const LISTING_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time between looks at whether it is listed.
+const LISTING_TICK: Duration = Duration::from_millis(25);
+/// Instances that are asked for changes, one after the other, before the next look.
+const PULLS_MAX: usize = 2;
+/// How long the first watch after a copy that may be old waits.
+const FIRST_WATCH_WAIT: Millis = Millis(1);
 
 /// Follows the store until the process ends.
 pub(crate) async fn run_sync(state: Rc<GatewayState>) {
     let mut pause = RETRY_FIRST;
     let mut needs_read = !first_copy(&state).await;
-    let spread = Duration::from_millis(rand::rng().random_range(0..FIRST_SPREAD_MS));
-    tokio::time::sleep(FIRST_PAUSE + spread).await;
+    state.first_copy.notify_one();
+    wait_listed(&state).await;
     loop {
         if duty(&state) == WatchDuty::Rely {
             state.fleet().is_watching = false;
@@ -49,7 +51,7 @@
         state.fleet().is_watching = true;
         let after = state.fleet_ref().replica.as_of();
         let result = if needs_read || after == StoreRevision(0) {
-            read_store(&state).await.map(|()| needs_read = false)
+            read_store(&state, ReadFreshness::Newest).await.map(|()| needs_read = false)
         } else {
             watch_store(&state, after).await.map(|is_complete| needs_read = !is_complete)
         };
@@ -69,30 +71,26 @@
     }
 }
 
-/// Gets the first copy of the store. When the whole fleet starts for the first time, the seeds read it
-/// and the others ask the seeds, since nobody waits yet and each call is priced. Gives whether there
-/// is a copy.
+/// Gets the first copy of the store, which may be old. Gives whether there is one.
 async fn first_copy(state: &Rc<GatewayState>) -> bool {
-    let settings = state.settings();
-    let is_seed = settings.seeds.contains(&settings.peer_address) || settings.seeds.is_empty();
-    let asks_seeds = settings.is_first_start && !is_seed;
-    let until = state.now().after(SEED_PATIENCE);
-    while asks_seeds && state.now() < until {
-        catch_up(state).await;
-        if state.fleet_ref().replica.as_of() > StoreRevision(0) {
-            return true;
-        }
-        tokio::time::sleep(SEED_TICK).await;
-    }
-    match read_store(state).await {
+    match read_store(state, ReadFreshness::MayBeOld).await {
         Ok(()) => true,
         Err(cause) => {
             note_failure(state, &cause);
-            false
+            catch_up(state).await;
+            state.fleet_ref().replica.as_of() > StoreRevision(0)
         }
     }
 }
 
+/// Waits until the store lists this instance, or this instance lists others.
+async fn wait_listed(state: &Rc<GatewayState>) {
+    let until = state.now().after(LISTING_PATIENCE);
+    while !is_listed(state) && !state.has_registered.get() && state.now() < until {
+        tokio::time::sleep(LISTING_TICK).await;
+    }
+}
+
 fn duty(state: &Rc<GatewayState>) -> WatchDuty {
     refresh_fleet(state);
     let now = state.now();
@@ -100,10 +98,11 @@
     if fleet.replica.as_of() == StoreRevision(0) {
         return WatchDuty::Watch;
     }
+    let relies_since = fleet.copied_at.max(fleet.confirmed_at);
     watch_duty(WatchInputs {
         rank: fleet.home_place().unwrap_or_else(|| fleet.rank().max(WATCHERS)),
         watchers: WATCHERS,
-        confirmed_age: fleet.confirmed_age(now),
+        confirmed_age: relies_since.map_or(Duration::MAX, |since| now.since(since)),
         all_lost: fleet.all_lost(now, WATCHERS),
     })
 }
@@ -129,22 +128,29 @@
     note_store(state, false);
 }
 
-async fn read_store(state: &Rc<GatewayState>) -> Result<(), StoreError> {
+async fn read_store(state: &Rc<GatewayState>, freshness: ReadFreshness) -> Result<(), StoreError> {
     let store = Rc::clone(&state.store.borrow());
-    let result = store.read_all().await;
-    state.metrics.store_call("read", result.is_ok());
+    let result = store.read_all(freshness).await;
+    let label = if freshness == ReadFreshness::Newest { "read" } else { "read_old" };
+    state.metrics.store_call(label, result.is_ok());
     let StoreItems { as_of, items } = result?;
     let items = items.into_iter().map(change_of).collect();
     let after = state.fleet_ref().replica.as_of();
     let applied = state.fleet().replica.apply_snapshot(as_of, items);
-    after_changes(state, after, as_of, applied);
+    if freshness == ReadFreshness::MayBeOld {
+        take_copy(state, &applied);
+    } else {
+        after_changes(state, after, as_of, applied);
+    }
     Ok(())
 }
 
 /// Gives whether the changes are complete.
 async fn watch_store(state: &Rc<GatewayState>, after: StoreRevision) -> Result<bool, StoreError> {
     let store = Rc::clone(&state.store.borrow());
-    let result = store.watch(after, WATCH_WAIT).await;
+    let is_confirmed = state.fleet_ref().confirmed_at.is_some();
+    let wait = if is_confirmed { WATCH_WAIT } else { FIRST_WATCH_WAIT };
+    let result = store.watch(after, wait).await;
     state.metrics.store_call("watch", result.is_ok());
     let StoreItems { as_of, items } = match result? {
         WatchAnswer::Changes(changes) => changes,
@@ -170,6 +176,14 @@
     StoreChange { key: item.key, value: item.value, revision: item.revision }
 }
 
+/// What follows from a first copy that may be old. It confirms nothing.
+fn take_copy(state: &Rc<GatewayState>, applied: &[StoreChange]) {
+    let now = state.now();
+    state.fleet().copied_at = Some(now);
+    apply_records(state, applied);
+    state.fleet().outlive_listed_run();
+}
+
 /// What follows from changes that the store told this instance itself.
 fn after_changes(
     state: &Rc<GatewayState>,
@@ -181,40 +195,26 @@
     state.fleet().confirm(now, as_of, Duration::ZERO);
     if !applied.is_empty() {
         apply_records(state, &applied);
-        send_changes(state, after, as_of, applied);
+        let batch = ChangeBatch { after, as_of, confirmed_age: Millis(0), changes: applied };
+        send_changes(state, ChangeOrigin::Store, batch);
     }
 }
 
 /// Fetches what other instances know beyond the replica.
 pub(crate) async fn catch_up(state: &Rc<GatewayState>) {
-    let (after, source) = {
-        let now = state.now();
-        let fleet = state.fleet_ref();
-        let after = fleet.replica.as_of();
-        let newest = fleet
-            .members
-            .recent_beats(now)
-            .filter(|(_, beat)| beat.as_of > after)
-            .max_by_key(|(_, beat)| beat.as_of)
-            .map(|(record, _)| record.peer_address);
-        (after, newest)
-    };
-    let seeds = state.settings().seeds.clone();
-    let own = state.settings().peer_address;
-    let sources: Vec<SocketAddr> = match source {
-        Some(source) => vec![source],
-        None if after == StoreRevision(0) => {
-            seeds.into_iter().filter(|seed| *seed != own).collect()
-        }
-        None => return,
-    };
+    let after = state.fleet_ref().replica.as_of();
+    let mut sources = state.fleet().pull_sources(state.now());
+    if sources.is_empty() && after == StoreRevision(0) {
+        let settings = state.settings();
+        sources = settings.seeds.clone();
+        sources.retain(|seed| *seed != settings.peer_address);
+    }
+    sources.shuffle(&mut rand::rng());
+    sources.truncate(PULLS_MAX);
     let mut failure = None;
     for source in sources {
-        match pull_changes(state, source, after).await {
-            Ok(answer) => {
-                take_answer(state, answer);
-                return;
-            }
+        match pull_from(state, source).await {
+            Ok(()) => return,
             Err(cause) => failure = Some(format_smolstr!("{source}: {cause}")),
         }
     }
@@ -223,6 +223,14 @@
     }
 }
 
+/// Fetches what one instance knows beyond the replica.
+pub(crate) async fn pull_from(state: &Rc<GatewayState>, source: SocketAddr) -> anyhow::Result<()> {
+    let after = state.fleet_ref().replica.as_of();
+    let answer = pull_changes(state, source, after).await?;
+    take_answer(state, answer);
+    Ok(())
+}
+
 fn take_answer(state: &Rc<GatewayState>, answer: fleet::PullAnswer) {
     let now = state.now();
     let batch = answer.batch;
@@ -237,16 +245,23 @@
     };
     state.fleet().confirm(now, batch.as_of, batch.confirmed_age.span());
     apply_records(state, &applied);
+    if !applied.is_empty() {
+        tell_own_centre(state);
+    }
 }
 
 /// Takes over changes that another instance passed on. Gives whether some before them are missing.
-pub(crate) fn take_batch(state: &Rc<GatewayState>, batch: fleet::ChangeBatch) -> bool {
+pub(crate) fn take_batch(state: &Rc<GatewayState>, batch: ChangeBatch) -> bool {
     let now = state.now();
-    let applied = state.fleet().replica.apply_changes(batch.after, batch.as_of, batch.changes);
+    let changes = batch.changes.clone();
+    let applied = state.fleet().replica.apply_changes(batch.after, batch.as_of, changes);
     match applied {
         Ok(applied) => {
             state.fleet().confirm(now, batch.as_of, batch.confirmed_age.span());
             apply_records(state, &applied);
+            if !applied.is_empty() {
+                send_changes(state, ChangeOrigin::Peer, batch);
+            }
             false
         }
         Err(_) => true,
--- a/crates/gateway/tests/support/memory_store.rs
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -7,7 +7,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use store::replicated::ItemState;
-use store::{LeaseId, ReplicaStore, StoreCall, StoreError, StoreItems, StoreKey, WatchAnswer};
+use store::{
+    ItemWrite, LeaseId, ReadFreshness, ReplicaStore, StoreCall, StoreError, StoreItems, WatchAnswer,
+};
 
 /// Time between looks of a watch.
 const WATCH_TICK: Duration = Duration::from_millis(5);
@@ -117,7 +119,7 @@
 }
 
 impl ReplicaStore for InstanceStore {
-    fn read_all(&self) -> StoreCall<'_, StoreItems> {
+    fn read_all(&self, _freshness: ReadFreshness) -> StoreCall<'_, StoreItems> {
         async move {
             let state = self.enter()?;
             let items = state.items.values().cloned().collect();
@@ -139,23 +141,11 @@
         .boxed_local()
     }
 
-    fn keep(&self, _lease: LeaseId) -> StoreCall<'_, ()> {
-        async move { self.enter().map(|_| ()) }.boxed_local()
-    }
-
-    fn end(&self, _lease: LeaseId) -> StoreCall<'_, ()> {
-        async move { self.enter().map(|_| ()) }.boxed_local()
-    }
-
-    fn put<'a>(
-        &'a self,
-        key: &'a StoreKey,
-        value: SmolStr,
-        _lease: LeaseId,
-    ) -> StoreCall<'a, StoreRevision> {
+    fn put_all(&self, writes: Vec<ItemWrite>, _lease: LeaseId) -> StoreCall<'_, StoreRevision> {
         async move {
             drop(self.enter()?);
-            Ok(StoreRevision(self.store.set(&key.0, Some(&value))))
+            let revisions = writes.iter().map(|w| self.store.set(&w.key.0, Some(&w.value)));
+            Ok(StoreRevision(revisions.max().unwrap_or_default()))
         }
         .boxed_local()
     }
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -4,14 +4,14 @@
 use anyhow::Result;
 use axum::body::Bytes;
 use axum::extract::{Query, State};
-use axum::http::{Method, StatusCode, Uri};
+use axum::http::{StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use axum::{Json, Router};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use platform::wire::{
-    END_PATH, ItemBody, KEEP_PATH, LEASE_PATH, LeaseBody, RANGE_PATH, RangeBody, TXN_PATH, TxnBody,
-    TxnRequest, WATCH_PATH, WatchBody,
+    ItemBody, LEASE_PATH, LeaseBody, RANGE_PATH, RangeBody, TXN_PATH, TxnBody, TxnRequest,
+    WATCH_PATH, WatchBody,
 };
 use platform::{CONFIG_KEY, SERVER_PREFIX};
 use rand::RngExt;
@@ -148,7 +148,6 @@
 
 async fn answer(
     State(state): State<SharedState>,
-    method: Method,
     uri: Uri,
     Query(query): Query<HashMap<String, String>>,
     body: Bytes,
@@ -170,10 +169,6 @@
             state.leases += 1;
             Json(LeaseBody { lease: state.leases }).into_response()
         }
-        _ if path.starts_with(KEEP_PATH) && method == Method::POST => {
-            Json(serde_json::json!({})).into_response()
-        }
-        _ if path.starts_with(END_PATH) => StatusCode::OK.into_response(),
         _ => StatusCode::BAD_REQUEST.into_response(),
     };
     let is_lost = match mood {
--- a/crates/store/src/replicated.rs
+++ b/crates/store/src/replicated.rs
@@ -38,10 +38,29 @@
     HistoryGone,
 }
 
+/// How old the result of a read may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadFreshness {
+    /// The newest state.
+    Newest,
+    /// Possibly seconds old; such reads are far cheaper. Only for a first copy that is brought up to
+    /// date by watching.
+    MayBeOld,
+}
+
+/// A key and its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ItemWrite {
+    /// The key.
+    pub key: StoreKey,
+    /// The value.
+    pub value: SmolStr,
+}
+
 /// The store of a platform that keeps the fleet's records under many keys.
 pub trait ReplicaStore {
     /// Reads all items.
-    fn read_all(&self) -> StoreCall<'_, StoreItems>;
+    fn read_all(&self, freshness: ReadFreshness) -> StoreCall<'_, StoreItems>;
 
     /// Waits for changes after a revision, at most `wait`.
     fn watch(&self, after: StoreRevision, wait: Millis) -> StoreCall<'_, WatchAnswer>;
@@ -49,17 +68,6 @@
     /// Takes a lease for `ttl`.
     fn grant(&self, ttl: Millis) -> StoreCall<'_, LeaseId>;
 
-    /// Extends a lease.
-    fn keep(&self, lease: LeaseId) -> StoreCall<'_, ()>;
-
-    /// Ends a lease and removes its keys.
-    fn end(&self, lease: LeaseId) -> StoreCall<'_, ()>;
-
-    /// Writes a value that lasts as long as a lease.
-    fn put<'a>(
-        &'a self,
-        key: &'a StoreKey,
-        value: SmolStr,
-        lease: LeaseId,
-    ) -> StoreCall<'a, StoreRevision>;
+    /// Writes values that last as long as a lease, all or none. At most 32 fit one call.
+    fn put_all(&self, writes: Vec<ItemWrite>, lease: LeaseId) -> StoreCall<'_, StoreRevision>;
 }
