Decode each record once; let the second watcher watch less often

Cause: each change decoded the records of all servers and members anew, in each instance (time grows with the square of the fleet); both watchers called the store for each change.

--- a/crates/balance/tests/support/played.rs
+++ b/crates/balance/tests/support/played.rs
@@ -142,7 +142,7 @@
 
     fn report(&mut self, now: u64) {
         for (index, server) in self.servers.iter().enumerate() {
-            if (now + index as u64) % REPORT_MS == 0 {
+            if (now + index as u64).is_multiple_of(REPORT_MS) {
                 let report = LoadReport { running: server.running, waiting: 0, pace: server.pace };
                 self.queue.picture.record_report(at(now), &key(index), report);
             }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -7,18 +7,36 @@
     PullAnswer, RelayView, StoreChange, StoreReplica, choose_homes, choose_scouts,
 };
 use model::{
-    ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
+    BackendSpec, ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey,
+    StoreRevision,
 };
-use std::collections::{HashMap, HashSet};
+use smol_str::SmolStr;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Members that send heartbeats to all; the others are replaced from further down the ranking.
 const SENDERS: usize = 5;
 
+/// Records of the replica as they were decoded, by key.
+#[derive(Default)]
+pub(crate) struct DecodedRecords {
+    pub servers: BTreeMap<SmolStr, BackendSpec>,
+    pub members: BTreeMap<SmolStr, MemberRecord>,
+}
+
+impl DecodedRecords {
+    /// Drops what was known of a key that changed or is gone.
+    pub fn forget(&mut self, key: &str) {
+        self.servers.remove(key);
+        self.members.remove(key);
+    }
+}
+
 /// What this instance knows of the fleet.
 pub(crate) struct FleetState {
     pub replica: StoreReplica,
+    pub records: DecodedRecords,
     pub members: MemberTable,
     /// When the store last confirmed, as far as is known here, that the replica is the newest state.
     pub confirmed_at: Option<MonoTime>,
@@ -53,6 +71,7 @@
         };
         Self {
             replica: StoreReplica::default(),
+            records: DecodedRecords::default(),
             members: MemberTable::new(this, SENDERS),
             confirmed_at: None,
             copied_at: None,
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -4,7 +4,7 @@
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
 use balance::BackendState;
-use fleet::{StoreChange, StoreRecord};
+use fleet::{MemberRecord, StoreChange, StoreRecord};
 use model::{BackendSpec, MonoTime};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
@@ -17,17 +17,16 @@
 /// Brings configuration, servers and members in line with changed records.
 pub(crate) fn apply_records(state: &Rc<GatewayState>, applied: &[StoreChange]) {
     for change in applied {
-        let Some(value) = &change.value else {
-            state.log.state("record_gone", &change.key);
-            continue;
-        };
-        match state.decoder.decode(&change.key, value) {
-            StoreRecord::Config(table) => apply_table(state, table),
-            StoreRecord::Malformed(cause) => {
+        let record = change.value.as_ref().map(|value| state.decoder.decode(&change.key, value));
+        state.fleet().records.forget(&change.key);
+        match record {
+            None => state.log.state("record_gone", &change.key),
+            Some(StoreRecord::Config(table)) => apply_table(state, table),
+            Some(StoreRecord::Malformed(cause)) => {
                 let detail = format_smolstr!("{}: {cause}", change.key);
                 state.log.state("record_malformed", &detail);
             }
-            StoreRecord::Server(server) => {
+            Some(StoreRecord::Server(server)) => {
                 let detail = format_smolstr!(
                     "{} of {} at {} leaving {} revision {}",
                     server.key.name,
@@ -37,8 +36,12 @@
                     change.revision
                 );
                 state.log.state("server", &detail);
+                state.fleet().records.servers.insert(change.key.clone(), server);
+            }
+            Some(StoreRecord::Member(member)) => {
+                state.fleet().records.members.insert(change.key.clone(), member);
             }
-            StoreRecord::Member(_) | StoreRecord::Foreign => {}
+            Some(StoreRecord::Foreign) => {}
         }
     }
     if !applied.is_empty() {
@@ -66,17 +69,14 @@
     }
 }
 
-/// Decodes all records of servers and members anew.
+/// Brings the picture, the members and the homes in line with the records.
 fn rebuild(state: &Rc<GatewayState>) {
     let now = state.now();
-    let (mut specs, mut members) = (Vec::new(), Vec::new());
-    for (key, value) in state.fleet_ref().replica.items() {
-        match state.decoder.decode(key, value) {
-            StoreRecord::Server(server) => specs.push(server),
-            StoreRecord::Member(member) => members.push(member),
-            _ => {}
-        }
-    }
+    let (mut specs, members): (Vec<BackendSpec>, Vec<MemberRecord>) = {
+        let fleet = state.fleet_ref();
+        let records = &fleet.records;
+        (records.servers.values().cloned().collect(), records.members.values().cloned().collect())
+    };
     keep_vanished(state, now, &mut specs);
     state.metrics.servers.set(i64::try_from(specs.len()).unwrap_or(i64::MAX));
     state.queue().picture.set_servers(now, specs);
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -16,8 +16,10 @@
 
 /// How long a watch of an idle store waits. A silent connection shows after this.
 const WATCH_WAIT: Millis = Millis(1_000);
-/// Pause after a watch returned changes, so that several arrive in one call.
-const BATCH_SPAN: Duration = Duration::from_millis(40);
+/// Pause after a watch returned changes, so that several arrive in one call: of the first watcher, and
+/// of the others, who hear of most changes from the first one and watch in case that fails.
+const BATCH_SPAN: Duration = Duration::from_millis(80);
+const BATCH_OTHERS: Duration = Duration::from_millis(400);
 /// Instances that always watch.
 const WATCHERS: usize = 2;
 /// Pause between looks at whether this instance should watch.
@@ -167,7 +169,8 @@
         Err(_) => return Ok(false),
     }
     if !is_empty {
-        tokio::time::sleep(BATCH_SPAN).await;
+        let is_first = state.fleet_ref().home_place() == Some(0);
+        tokio::time::sleep(if is_first { BATCH_SPAN } else { BATCH_OTHERS }).await;
     }
     Ok(true)
 }
