--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -203,7 +203,7 @@
                 Some(turn_away(TurnAwayCause::NoServer, RETRY_AFTER_MIN * 10))
             }
             PlacingVerdict::Wait(wait) => {
-                let work = self.work.work_of(&spec.route);
+                let work = self.work_of(&spec);
                 let is_late = now.after(wait + work.mul_f64(LAST_CHANCE)) > spec.deadline;
                 if self.waiting_count >= self.policy.waiting_max {
                     Some(turn_away(TurnAwayCause::QueueFull, wait))
@@ -242,6 +242,10 @@
         Some((place, self.start(now, place, key, expected)))
     }
 
+    fn work_of(&self, spec: &RequestSpec) -> Duration {
+        self.work.work_of(&spec.route, spec.objective.since(spec.arrived))
+    }
+
     fn ahead_of(&self, spec: &RequestSpec) -> usize {
         self.waiting
             .get(&spec.service)
@@ -250,12 +254,12 @@
 
     /// Whether a request would probably miss its objective even if it were sent now.
     fn is_late(&self, now: MonoTime, spec: &RequestSpec) -> bool {
-        now.after(self.work.work_of(&spec.route).mul_f64(TIMELY_FACTOR)) > spec.objective
+        now.after(self.work_of(spec).mul_f64(TIMELY_FACTOR)) > spec.objective
     }
 
     fn place(&mut self, now: MonoTime, spec: &RequestSpec, ahead: usize) -> PlacingVerdict {
         let settles_within = self.is_late(now, spec).then(|| spec.deadline.since(now));
-        let work = self.work.work_of(&spec.route);
+        let work = self.work_of(spec);
         let inputs = PlacingInputs {
             picture: &self.picture,
             service: &spec.service,
@@ -343,7 +347,7 @@
             orders.into_iter().partition(|order| self.is_late(now, &queue[order].spec));
         for order in timely.into_iter().chain(late) {
             let request = &queue[&order];
-            let work = self.work.work_of(&request.spec.route);
+            let work = self.work_of(&request.spec);
             let place = request.place;
             let decision = if now.after(work.mul_f64(LAST_CHANCE)) > request.spec.deadline {
                 Some(turn_away(TurnAwayCause::Expired, RETRY_AFTER_MIN))
--- a/crates/balance/src/work.rs
+++ b/crates/balance/src/work.rs
@@ -9,8 +9,9 @@
 
 /// Routes remembered at once; others count as typical.
 const ROUTES_MAX: usize = 4096;
-/// Work of a route before anything is known.
-const FIRST_GUESS: Duration = Duration::from_millis(150);
+/// Work of a route before any answer, as a part of its objective: operators leave room for work that
+/// takes longer than usual and for one more try.
+const FIRST_PART: f64 = 1.0 / 3.0;
 /// Weight of the newest observation.
 const NEWEST_WEIGHT: f64 = 0.05;
 /// An observation counts at most as this many times the mean, so that stragglers move it little.
@@ -27,6 +28,8 @@
     pub service: &'a ServiceName,
     /// Its route.
     pub route: &'a SmolStr,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
     /// How long the answer took.
     pub span: Duration,
     /// Pace of the server.
@@ -47,33 +50,19 @@
 
 /// Mean work of each route, as time at a server that works at its usual pace and has no other work,
 /// and the crowding of each service.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct WorkMemory {
     routes: HashMap<SmolStr, RouteWork>,
     crowding: HashMap<ServiceName, CrowdingCurve>,
-    typical_s: f64,
-}
-
-impl Default for WorkMemory {
-    fn default() -> Self {
-        Self {
-            routes: HashMap::new(),
-            crowding: HashMap::new(),
-            typical_s: FIRST_GUESS.as_secs_f64(),
-        }
-    }
 }
 
 impl WorkMemory {
-    /// Mean work of a route.
-    pub fn work_of(&self, route: &str) -> Duration {
-        let known = self.routes.get(route).map(|work| work.mean_s);
-        Duration::from_secs_f64(known.unwrap_or(self.typical_s))
-    }
-
-    /// Mean work over all routes.
-    pub fn typical(&self) -> Duration {
-        Duration::from_secs_f64(self.typical_s)
+    /// Mean work of a route whose answers should take no longer than `objective`.
+    pub fn work_of(&self, route: &str, objective: Duration) -> Duration {
+        match self.routes.get(route) {
+            Some(known) => Duration::from_secs_f64(known.mean_s),
+            None => objective.mul_f64(FIRST_PART),
+        }
     }
 
     /// How servers of a service slow down when they have more work.
@@ -96,12 +85,12 @@
             curve.record(sample.occupancy, sample.slots, at_pace / known.mean_s.max(f64::EPSILON));
         }
         let work = at_pace / factor;
-        self.typical_s = blend(self.typical_s, work);
         if let Some(known) = self.routes.get_mut(sample.route) {
             known.mean_s = blend(known.mean_s, work);
             known.answers = known.answers.saturating_add(1);
         } else if self.routes.len() < ROUTES_MAX {
-            let first = RouteWork { mean_s: blend(self.typical_s, work), answers: 1 };
+            let guess = sample.objective.mul_f64(FIRST_PART).as_secs_f64();
+            let first = RouteWork { mean_s: blend(guess, work), answers: 1 };
             self.routes.insert(sample.route.clone(), first);
         }
     }
--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -203,3 +203,17 @@
         [(sent, QueueDecision::Send(placement))] if *sent == place && placement.key == key(1)
     ));
 }
+
+/// Cause traced (recovery after a loss of power): before any answer all work counted as 150 ms, so copies
+/// of longer work were sent at once and used the retry budget up.
+#[test]
+fn work_without_answers_counts_as_a_part_of_its_objective() {
+    let mut queue = queue(vec![spec(0, "north")]);
+    let objective = at(1_000).after(std::time::Duration::from_millis(900));
+    let wanted = RequestSpec { objective, ..request(at(1_000), 1) };
+    queue.picture.record_report(at(1_000), &key(0), report(0, 1.0));
+    let (_, Some(QueueDecision::Send(placement))) = queue.arrive(at(1_000), wanted) else {
+        panic!("expected a slot");
+    };
+    assert!((280..=330).contains(&placement.expected.as_millis()), "{:?}", placement.expected);
+}
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -63,6 +63,7 @@
     work.record(&WorkSample {
         service: &service(),
         route: &"r".into(),
+        objective: Duration::from_millis(450),
         span: Duration::from_millis(span_ms),
         pace: 1.0,
         occupancy: 0,
--- a/crates/balance/tests/support/played.rs
+++ b/crates/balance/tests/support/played.rs
@@ -204,6 +204,7 @@
             self.queue.work.record(&WorkSample {
                 service: &service(),
                 route: &"r".into(),
+                objective: Duration::from_millis(self.load.objective_ms),
                 span: span.expect("it ran"),
                 pace: placement.pace,
                 occupancy: placement.occupancy,
--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -123,6 +123,7 @@
         repeat: route.repeat,
         route: route.name.clone(),
         service: service.clone(),
+        objective: route.objective.span(),
         deadline,
     };
     Ok((RoutedCall { call, route, service, arrived, version: table.version }, bytes))
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
 use routing::RepeatKind;
 use smol_str::{SmolStr, ToSmolStr};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Headers that belong to one connection or to the framing of one message.
 const HOP_HEADERS: [HeaderName; 9] = [
@@ -37,6 +38,8 @@
     pub repeat: RepeatKind,
     pub route: SmolStr,
     pub service: ServiceName,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
     /// When an answer is of no use any more.
     pub deadline: MonoTime,
 }
@@ -175,6 +178,7 @@
             state.queue().work.record(&WorkSample {
                 service: &call.service,
                 route: &call.route,
+                objective: call.objective,
                 span,
                 pace: placement.pace,
                 occupancy: placement.occupancy,
