--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -1,27 +1,19 @@
 //! Who is alive, who is a home, who scouts and who watches.
 
+mod support;
+
 use fleet::{
     BeatMessage, HomePolicy, MemberRecord, MemberTable, MemberView, WatchDuty, WatchInputs,
     choose_homes, choose_scouts, rank_members, watch_duty,
 };
 use model::{ConfigVersion, IncarnationId, Millis, MonoTime, StoreRevision};
-use std::net::SocketAddr;
 use std::time::Duration;
 use testkit::cases;
 
 const CENTRES: [&str; 3] = ["north", "south", "west"];
 
 fn record(index: usize) -> MemberRecord {
-    let address: SocketAddr = format!("127.0.0.1:{}", 9000 + index).parse().expect("address");
-    MemberRecord {
-        name: format!("m{index}").parse().expect("name"),
-        incarnation: IncarnationId(1),
-        data_centre: CENTRES[index % CENTRES.len()].parse().expect("name"),
-        caller_address: address,
-        peer_address: address,
-        datagram_address: address,
-        capacity: 200,
-    }
+    support::record(index, CENTRES[index % CENTRES.len()])
 }
 
 fn beat(member: MemberRecord, is_ready: bool) -> BeatMessage {
--- a/crates/fleet/tests/registrar.rs
+++ b/crates/fleet/tests/registrar.rs
@@ -1,32 +1,24 @@
 //! Which announcements are written when, and under which lease.
 
+mod support;
+
 use fleet::{ANNOUNCE_SPAN, BATCH_MAX, LEASE_SPAN, MemberRecord, MemberRegistrar};
 use model::{IncarnationId, MonoTime};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 fn at(millis: u64) -> MonoTime {
     MonoTime(millis * 1_000)
 }
 
-fn record(index: u16, incarnation: u64) -> MemberRecord {
-    let address = SocketAddr::from(([127, 0, 0, 1], index));
-    MemberRecord {
-        name: format!("m{index}").parse().expect("name"),
-        incarnation: IncarnationId(incarnation),
-        data_centre: "north".parse().expect("name"),
-        caller_address: address,
-        peer_address: address,
-        datagram_address: address,
-        capacity: 1,
-    }
+fn record(index: usize, incarnation: u64) -> MemberRecord {
+    MemberRecord { incarnation: IncarnationId(incarnation), ..support::record(index, "north") }
 }
 
 #[test]
 fn instances_that_start_together_are_written_together() {
     let mut registrar = MemberRegistrar::default();
     assert_eq!(registrar.due_in(at(0)), None);
-    (1..=20).for_each(|index| registrar.take(at(u64::from(index)), record(index, 1), false));
+    (1..=20).for_each(|index| registrar.take(at(index as u64), record(index, 1), false));
     assert!(registrar.next_batch(at(150)).is_empty());
     let batch = registrar.next_batch(at(201));
     assert_eq!(batch.len(), 20);
--- a/crates/fleet/tests/relay.rs
+++ b/crates/fleet/tests/relay.rs
@@ -1,7 +1,8 @@
 //! How changes of the store spread over data centres.
 
+mod support;
+
 use fleet::{ChangeOrigin, MemberRecord, RelayView};
-use model::IncarnationId;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,16 +12,7 @@
 
 /// Member `index` stands in the data centre of that number modulo four.
 fn record(index: usize) -> MemberRecord {
-    let address: SocketAddr = format!("127.0.0.1:{}", 9000 + index).parse().expect("address");
-    MemberRecord {
-        name: format!("m{index}").parse().expect("name"),
-        incarnation: IncarnationId(1),
-        data_centre: CENTRES[index % CENTRES.len()].parse().expect("name"),
-        caller_address: address,
-        peer_address: address,
-        datagram_address: address,
-        capacity: 1,
-    }
+    support::record(index, CENTRES[index % CENTRES.len()])
 }
 
 fn targets(this: usize, origin: ChangeOrigin) -> BTreeSet<usize> {
