--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -210,8 +210,7 @@
                 Some(turn_away(TurnAwayCause::NoServer, RETRY_AFTER_MIN * 10))
             }
             PlacingVerdict::Wait(wait) => {
-                let work = self.work_of(&spec);
-                let is_late = now.after(wait + work.mul_f64(LAST_CHANCE)) > spec.deadline;
+                let is_late = !self.has_time(now.after(wait), &spec);
                 if self.waiting_count >= self.policy.waiting_max {
                     Some(turn_away(TurnAwayCause::QueueFull, wait))
                 } else if is_late {
@@ -228,6 +227,11 @@
         (place, decision)
     }
 
+    /// Whether enough time is left for a request to be sent once more.
+    pub fn has_time(&self, now: MonoTime, spec: &RequestSpec) -> bool {
+        now.after(self.work_of(spec).mul_f64(LAST_CHANCE)) <= spec.deadline
+    }
+
     /// A server for a further copy of a request that is already under way, if one is free now.
     pub fn spare(
         &mut self,
@@ -355,9 +359,8 @@
             orders.into_iter().partition(|order| self.is_late(now, &queue[order].spec));
         for order in timely.into_iter().chain(late) {
             let request = &queue[&order];
-            let work = self.work_of(&request.spec);
             let place = request.place;
-            let decision = if now.after(work.mul_f64(LAST_CHANCE)) > request.spec.deadline {
+            let decision = if !self.has_time(now, &request.spec) {
                 Some(turn_away(TurnAwayCause::Expired, RETRY_AFTER_MIN))
             } else if is_blocked {
                 None
--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -217,3 +217,13 @@
     };
     assert!((280..=330).contains(&placement.expected.as_millis()), "{:?}", placement.expected);
 }
+
+/// Cause traced (incident): requests whose server had used up their time were sent to a second one, which
+/// could only turn them away.
+#[test]
+fn a_request_without_time_left_is_not_sent_once_more() {
+    let queue = queue(vec![spec(0, "north")]);
+    let wanted = request(at(0), 1);
+    assert!(queue.has_time(at(1_300), &wanted));
+    assert!(!queue.has_time(at(1_400), &wanted));
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -345,8 +345,12 @@
     if ledger.arrivals >= routed.route.attempts {
         return false;
     }
-    // A request that reached no server yet is not counted as repeated.
     let now = state.now();
+    if !state.queue().has_time(now, &request_spec(routed, &ledger.tried)) {
+        ledger.cause = format_smolstr!("{}; too little time left", ledger.cause);
+        return false;
+    }
+    // A request that reached no server yet is not counted as repeated.
     let reserve = RetryWindow::reserve_of(routed.route.priority);
     let is_allowed =
         ledger.arrivals == 0 || state.queue().budget(&routed.service).take_repeat(now, reserve);
