--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -5,7 +5,7 @@
 use crate::state::GatewayState;
 use balance::BackendState;
 use fleet::{MemberRecord, StoreChange, StoreRecord};
-use model::{BackendSpec, MonoTime, ServerKey};
+use model::{BackendSpec, MonoTime, ServerKey, StoreRevision};
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -15,28 +15,31 @@
 /// two seconds in which a server that leaves may still get work.
 const RETURN_SPAN: Duration = Duration::from_millis(1_800);
 
+/// Changes of which each has a line in the log. More come with a copy of the store, at a start that
+/// should be short; of those only servers that leave are told.
+const LINES_MAX: usize = 40;
+
 /// Brings configuration, servers and members in line with changed records.
 pub(crate) fn apply_records(state: &Rc<GatewayState>, applied: &[StoreChange]) {
+    let logs_each = applied.len() <= LINES_MAX;
+    if !logs_each {
+        state.log.state("records", &format_smolstr!("{} changed at once", applied.len()));
+    }
     for change in applied {
         let record = change.value.as_ref().map(|value| state.decoder.decode(&change.key, value));
         state.fleet().records.forget(&change.key);
         match record {
-            None => state.log.state("record_gone", &change.key),
+            None if logs_each => state.log.state("record_gone", &change.key),
+            None => {}
             Some(StoreRecord::Config(table)) => apply_table(state, table),
             Some(StoreRecord::Malformed(cause)) => {
                 let detail = format_smolstr!("{}: {cause}", change.key);
                 state.log.state("record_malformed", &detail);
             }
             Some(StoreRecord::Server(server)) => {
-                let detail = format_smolstr!(
-                    "{} of {} at {} leaving {} revision {}",
-                    server.key.name,
-                    server.service,
-                    server.address,
-                    server.is_leaving,
-                    change.revision
-                );
-                state.log.state("server", &detail);
+                if logs_each || server.is_leaving {
+                    log_server(state, &server, change.revision);
+                }
                 state.fleet().records.insert_server(change.key.clone(), server);
             }
             Some(StoreRecord::Member(member)) => {
@@ -50,6 +53,17 @@
     }
 }
 
+fn log_server(state: &GatewayState, server: &BackendSpec, revision: StoreRevision) {
+    let detail = format_smolstr!(
+        "{} of {} at {} leaving {} revision {revision}",
+        server.key.name,
+        server.service,
+        server.address,
+        server.is_leaving,
+    );
+    state.log.state("server", &detail);
+}
+
 /// Puts a configuration in force unless it is older than the present one.
 fn apply_table(state: &Rc<GatewayState>, table: routing::RouteTable) {
     let version = table.version;
