--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -5,6 +5,7 @@
 use crate::store::StoreStandin;
 use anyhow::Result;
 use axum::Router;
+use axum::body::Body;
 use axum::extract::State;
 use axum::http::{HeaderMap, HeaderValue, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
@@ -34,6 +35,8 @@
     Shed,
     /// Fails half of the requests.
     Fail,
+    /// Runs requests and cuts the connection within half of the answers.
+    Cut,
 }
 
 struct ServerState {
@@ -181,6 +184,11 @@
         return (StatusCode::INTERNAL_SERVER_ERROR, [(names.signature.clone(), "s")])
             .into_response();
     }
-    (StatusCode::OK, [(names.signature.clone(), format!("s-{id}"))], format!("ran {id}"))
-        .into_response()
+    let body = if mood == ServerMood::Cut as u8 && rand::rng().random_bool(0.5) {
+        let cut = Err::<String, _>(std::io::Error::other("cut"));
+        Body::from_stream(futures::stream::iter([Ok(format!("ran {}", &id[..1])), cut]))
+    } else {
+        Body::from(format!("ran {id}"))
+    };
+    (StatusCode::OK, [(names.signature.clone(), format!("s-{id}"))], body).into_response()
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -117,7 +117,7 @@
                 Arc::clone(record),
             ))),
             10 => {
-                let moods = [ServerMood::Slow, ServerMood::Shed, ServerMood::Fail];
+                let moods = [ServerMood::Slow, ServerMood::Shed, ServerMood::Fail, ServerMood::Cut];
                 server.set_mood(moods[random.random_range(0..moods.len())]);
                 tasks.push(tokio::spawn(async move {
                     tokio::time::sleep(length).await;
