--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -56,10 +56,16 @@
     }
 }
 
-/// Whether the store has a record of this instance, as far as is known here.
+/// Whether the store has a record of this instance with its present addresses, as far as is known here.
+/// The run need not be the present one: heartbeats tell of a newer one.
 pub(crate) fn is_listed(state: &GatewayState) -> bool {
     let key = state.dialect.member_key(state.settings().name.as_str());
-    state.fleet_ref().replica.items().any(|(known, _)| *known == key)
+    let fleet = state.fleet_ref();
+    let this = fleet.members.this();
+    fleet.records.members.get(key.as_str()).is_some_and(|listed| {
+        let listed = MemberRecord { incarnation: this.incarnation, ..listed.clone() };
+        listed == *this
+    })
 }
 
 /// Whether the replica is new enough to tell that a record is missing.
@@ -71,11 +77,11 @@
 /// Gets this instance listed, in a round after some that failed. Gives whether it is.
 async fn announce(state: &Rc<GatewayState>, is_listed: bool, failed_rounds: u32) -> bool {
     let record = state.fleet_ref().members.this().clone();
-    let others = registrars(state);
+    let others = registrars(state, is_listed);
     let lists_itself = others.is_empty() || failed_rounds >= PATIENT_ROUNDS;
     for registrar in others {
         match ask_listing(state, registrar, &record, is_listed).await {
-            Ok(()) if is_listed || arrives(state, registrar).await => return true,
+            Ok(()) if is_listed || arrives(state, Some(registrar)).await => return true,
             Ok(()) => state.log.state("listing_missing", &format_smolstr!("at {registrar}")),
             Err(cause) => {
                 state.log.state("listing_failed", &format_smolstr!("{registrar}: {cause:#}"));
@@ -84,7 +90,8 @@
     }
     let listing = lists_itself.then(|| list_record(state, record, is_listed));
     match listing {
-        Some(listing) => is_listed || listing.await.unwrap_or(false),
+        Some(_) if is_listed => true,
+        Some(listing) => listing.await.unwrap_or(false) && arrives(state, None).await,
         None => false,
     }
 }
@@ -118,38 +125,40 @@
 }
 
 /// Who may list this instance, the best one first; none if this instance lists others itself.
-fn registrars(state: &GatewayState) -> Vec<SocketAddr> {
+fn registrars(state: &GatewayState, is_listed: bool) -> Vec<SocketAddr> {
     let settings = state.settings();
     let fleet = state.fleet_ref();
-    if fleet.home_place() == Some(0) && fleet.usable_count() > 1 {
+    if is_listed && fleet.home_place() == Some(0) {
         return Vec::new();
     }
     let own = settings.peer_address;
+    let now = state.now();
     let heard = |name: &model::InstanceName| {
-        fleet.members.recent_beats(state.now()).any(|(record, _)| record.name == *name)
+        fleet.members.recent_beats(now).any(|(record, _)| record.name == *name)
     };
     let home = fleet.homes().iter().find(|home| heard(&home.name)).map(|home| home.peer_address);
+    let other = fleet.members.recent_beats(now).map(|(record, _)| record.peer_address).next();
     // The first seed lists those that start together; the seeds after it stand in for it.
     let seeds = settings.seeds.iter().copied().take_while(|seed| *seed != own);
-    home.into_iter().chain(seeds).collect()
+    let mut registrars: Vec<SocketAddr> = home.or(other).into_iter().chain(seeds).collect();
+    registrars.dedup();
+    registrars
 }
 
-/// Waits for the record that a registrar wrote. Gives whether it is there.
-async fn arrives(state: &Rc<GatewayState>, registrar: SocketAddr) -> bool {
+/// Waits for the record that a registrar wrote, or that this instance did. Gives whether it is there.
+async fn arrives(state: &Rc<GatewayState>, registrar: Option<SocketAddr>) -> bool {
     let until = state.now().after(ARRIVAL_SPAN);
-    while state.now() < until {
-        if is_listed(state) {
-            return true;
-        }
-        if let Err(cause) = pull_from(state, registrar).await {
+    while !is_listed(state) && state.now() < until {
+        if let Some(registrar) = registrar
+            && let Err(cause) = pull_from(state, registrar).await
+        {
             state.log.state("pull_failed", &format_smolstr!("{registrar}: {cause:#}"));
         }
-        if is_listed(state) {
-            return true;
+        if !is_listed(state) {
+            tokio::time::sleep(ARRIVAL_TICK).await;
         }
-        tokio::time::sleep(ARRIVAL_TICK).await;
     }
-    false
+    is_listed(state)
 }
 
 /// Writes the records of instances that asked for it.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -55,9 +55,10 @@
 }
 
 /// Milliseconds since 1970, so that a restarted instance has a greater incarnation.
-fn new_incarnation() -> IncarnationId {
+fn new_incarnation(clock_offset_s: i64) -> IncarnationId {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    IncarnationId(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    let millis = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+    IncarnationId(millis.saturating_add_signed(clock_offset_s.saturating_mul(1_000)))
 }
 
 async fn run_tasks(
@@ -66,7 +67,8 @@
 ) -> anyhow::Result<()> {
     let GatewayParts { settings, settings_file, dialect, decoder, store } = parts;
     let socket = open_socket(settings.datagram_address)?;
-    let state = GatewayState::new(settings, dialect, decoder, store, new_incarnation(), socket);
+    let incarnation = new_incarnation(settings.clock_offset_s);
+    let state = GatewayState::new(settings, dialect, decoder, store, incarnation, socket);
     let state = Rc::new(state);
     let settings = state.settings();
     state.log.state("start", &format_smolstr!("incarnation {}", state.incarnation));
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -14,6 +14,8 @@
     pub name: InstanceName,
     /// Where it stands.
     pub data_centre: DataCentre,
+    /// Seconds by which its clock counts as wrong, to try out what depends on the time of day.
+    pub clock_offset_s: i64,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where the platform asks whether it is ready.
@@ -63,6 +65,7 @@
     let descriptors = reader.with_default("instance", "descriptors", "a number", 4_096);
     let memory_mb = reader.with_default("instance", "memory_mb", "megabytes", 256_u64);
     let link_mbps = reader.with_default("instance", "link_mbps", "megabits a second", 1_000.0_f64);
+    let clock_offset_s = reader.with_default("instance", "clock_offset_s", "seconds", 0_i64);
     let caller_address = reader.required("listen", "callers", address);
     let ready_address = reader.required("listen", "ready", address);
     let directory_address = reader.required("listen", "directory", address);
@@ -85,6 +88,7 @@
         Some(GatewaySettings {
             name: name?,
             data_centre: data_centre?,
+            clock_offset_s,
             caller_address: caller_address?,
             ready_address: ready_address?,
             directory_address: directory_address?,
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -193,3 +193,68 @@
     });
     instance.close();
 }
+
+/// What the caller says it waits, and the most that a server may be told; the route allows a second.
+fn check_deadline(told: Option<u64>, most: u64) {
+    let (_store, server, instance) = served();
+    let header = told.map(|millis| format!("t-deadline: {millis}\r\n")).unwrap_or_default();
+    let bytes = format!(
+        "POST /work/ok/ HTTP/1.1\r\nhost: shop.example\r\nt-id: id-1\r\n{header}content-length: 0\r\n\r\n"
+    );
+    assert_eq!(exchange(&mut connect(instance.callers), bytes.as_bytes()).status, 200);
+    let deadlines = server.record.lock().expect("record").deadlines.clone();
+    assert!(matches!(deadlines[..], [left] if left > 0 && left <= most), "{deadlines:?}");
+    instance.close();
+}
+
+cases! { check_deadline {
+    of_the_caller: (Some(700), 700);
+    of_the_route_if_shorter: (Some(60_000), 1_000);
+    of_the_route_if_none_is_told: (None, 1_000);
+} }
+
+#[test]
+fn the_time_left_shrinks_from_server_to_server() {
+    let (store, first, instance) = served();
+    let second = ScriptedBackend::start("second");
+    list_server(&store, &second, "ready");
+    wait_until("both servers are used", || {
+        work(&instance, "ok", "warm");
+        !second.ran().is_empty()
+    });
+    let before = |server: &ScriptedBackend| server.record.lock().expect("record").deadlines.len();
+    let known = [before(&first), before(&second)];
+    let answer = call(instance.callers, "GET", "/look/close/", "id-1");
+    assert_eq!(answer.status, 502);
+    let told = |server: &ScriptedBackend, known: usize| {
+        server.record.lock().expect("record").deadlines[known..].to_vec()
+    };
+    let told = [told(&first, known[0]), told(&second, known[1])].concat();
+    assert!(matches!(told[..], [one, other] if one <= 1_000 && other <= 1_000), "{told:?}");
+    instance.close();
+}
+
+/// A twentieth of the descriptors that an instance has by default.
+const FEW_DESCRIPTORS: &str = "descriptors = 200\n";
+
+#[test]
+fn connections_beyond_the_descriptors_are_closed_and_the_others_served() {
+    let store = support::memory_store::MemoryStore::default();
+    let server = ScriptedBackend::start("first");
+    store.set("config", Some("1"));
+    list_server(&store, &server, "ready");
+    let instance = support::fixture::start_with("one", &store, FEW_DESCRIPTORS);
+    wait_until("ready", || support::fixture::is_ready(&instance));
+    let mut open: Vec<_> = (0..200).map(|_| connect(instance.callers)).collect();
+    let statuses: Vec<u16> = open
+        .iter_mut()
+        .map(|stream| exchange(stream, &request("POST", "/work/ok/", "id", "")).status)
+        .collect();
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    let closed = statuses.iter().filter(|status| **status == 0).count();
+    assert!(served > 50 && closed > 50 && served + closed == statuses.len(), "{statuses:?}");
+    assert_eq!(server.ran().len(), served);
+    drop(open);
+    wait_until("there is room again", || work(&instance, "ok", "id").status == 200);
+    instance.close();
+}
--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -137,6 +137,7 @@
     let pace = if mood == ServerMood::Slow as u8 { SLOW_FACTOR * 100 } else { 100 };
     let load = format!("{},0,{SLOTS},{pace}", state.running.load(Ordering::Relaxed));
     let mut answer = if uri.path() == "/health" {
+        state.record.note_check(&state.name);
         StatusCode::OK.into_response()
     } else {
         work(&state, &uri, &headers, mood).await
@@ -162,12 +163,13 @@
     if text(&names.expected_server) != state.name {
         return StatusCode::MISDIRECTED_REQUEST.into_response();
     }
+    let id = text(&names.request_id);
+    state.record.note_arrival(&id);
     let is_full = state.running.load(Ordering::Relaxed) >= SLOTS * 3;
     if is_full || (mood == ServerMood::Shed as u8 && rand::rng().random_bool(0.5)) {
         let mark = [(names.not_run.clone(), "1")];
         return (StatusCode::SERVICE_UNAVAILABLE, mark).into_response();
     }
-    let id = text(&names.request_id);
     state.record.note_run(&state.name, &id, !uri.path().starts_with("/book/"));
     state.running.fetch_add(1, Ordering::Relaxed);
     let running = Running(&state.running);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -39,10 +39,30 @@
 
 /// Asks a side port.
 pub async fn ask(address: SocketAddr, path: &str) -> Result<(StatusCode, Bytes)> {
+    let request = Request::get(path).header(header::HOST, "shop.example").body(Full::default())?;
+    exchange_once(address, request).await
+}
+
+/// Sends one idempotent request with an id to the port for callers.
+pub async fn ask_with(
+    address: SocketAddr,
+    path: &str,
+    dialect: &PlatformDialect,
+    id: &str,
+) -> Result<(StatusCode, Bytes)> {
+    let request = Request::get(path)
+        .header(header::HOST, "shop.example")
+        .header(&dialect.headers().request_id, id)
+        .body(Full::default())?;
+    exchange_once(address, request).await
+}
+
+async fn exchange_once(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes)> {
     let exchange = async {
         let mut sender = open(address).await?;
-        let request =
-            Request::get(path).header(header::HOST, "shop.example").body(Full::default())?;
         let answer = sender.send_request(request).await?;
         let status = answer.status();
         Ok((status, answer.into_body().collect().await?.to_bytes()))
@@ -89,7 +109,10 @@
         let id = format!("c{}-{}", self.seed, self.number);
         let may_repeat = self.random.random_bool(0.6);
         let end = match self.connect().await {
-            Some((address, sender)) => self.send(address, sender, &id, may_repeat).await,
+            Some((address, sender)) => {
+                self.record.note_request();
+                self.send(address, sender, &id, may_repeat).await
+            }
             None => CallEnd::Unanswered,
         };
         self.record.note_end(&id, may_repeat, end);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -14,6 +14,11 @@
 
 /// How long a leaving server still serves.
 const LEAVE_SPAN: Duration = Duration::from_secs(3);
+/// Most seconds by which the clock of a gateway is wrong.
+const CLOCK_SHIFT_S: i64 = 6;
+/// How often all gateways are killed at once, and longest time until they start again.
+const LOST_ALL_MAX: u32 = 2;
+const OUTAGE_MAX: Duration = Duration::from_millis(1_200);
 /// Longest pause between two faults.
 const PAUSE_MS: u64 = 900;
 
@@ -39,10 +44,11 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let until = Instant::now() + span;
     let mut tasks = Vec::new();
+    let mut lost_all = 0;
     let mut busy: Vec<(usize, Instant)> = Vec::new();
     while Instant::now() < until {
         let length = Duration::from_millis(random.random_range(300..2_500));
-        let choice = random.random_range(0..if kinds == FaultKinds::Planned { 4 } else { 11 });
+        let choice = random.random_range(0..if kinds == FaultKinds::Planned { 4 } else { 13 });
         let index = random.random_range(0..fleet.count());
         busy.retain(|(_, end)| *end > Instant::now());
         let is_free = busy.len() + 1 < fleet.count() && !busy.iter().any(|(one, _)| *one == index);
@@ -58,7 +64,7 @@
             }
             1 => fleet.signal(index, Signal::HUP)?,
             2 => {
-                let version = store.version() + random.random_range(1..4);
+                let version = store.newest().0 + random.random_range(1..4);
                 store.put_config(version);
             }
             3 if listed.len() > 4 => {
@@ -119,6 +125,27 @@
                     Ok(())
                 }));
             }
+            11 if is_free => {
+                let offset = random.random_range(-CLOCK_SHIFT_S..=CLOCK_SHIFT_S);
+                fleet.set_clock(index, offset)?;
+                busy.push((index, Instant::now() + Duration::from_secs(2)));
+                tasks.push(tokio::spawn(restart(Arc::clone(fleet), index, Signal::KILL)));
+            }
+            // All at once, but not while one of them is being stopped or started.
+            12 if busy.is_empty() && lost_all < LOST_ALL_MAX => {
+                lost_all += 1;
+                for index in 0..fleet.count() {
+                    busy.push((index, Instant::now() + length + Duration::from_secs(2)));
+                    let pause = length.min(OUTAGE_MAX);
+                    tasks.push(tokio::spawn(lose_power(Arc::clone(fleet), index, pause)));
+                }
+                let record = Arc::clone(record);
+                tasks.push(tokio::spawn(async move {
+                    tokio::time::sleep(length.min(OUTAGE_MAX)).await;
+                    record.note_fault();
+                    Ok(())
+                }));
+            }
             _ => {}
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(50..PAUSE_MS))).await;
@@ -130,10 +157,11 @@
 }
 
 fn proxy_mode(random: &mut SmallRng) -> ProxyMode {
-    match random.random_range(0..4) {
+    match random.random_range(0..5) {
         0 => ProxyMode::Delay(Duration::from_millis(random.random_range(5..80))),
         1 => ProxyMode::Reset,
         2 => ProxyMode::SilenceBack,
+        3 => ProxyMode::SilenceThere,
         _ => ProxyMode::Silence,
     }
 }
@@ -151,6 +179,14 @@
     Ok(())
 }
 
+/// Kills a gateway and starts it again after a pause.
+async fn lose_power(fleet: Arc<GatewayFleet>, index: usize, pause: Duration) -> Result<()> {
+    fleet.signal(index, Signal::KILL)?;
+    fleet.wait_end(index, GRACE_SPAN).await?;
+    tokio::time::sleep(pause).await;
+    fleet.launch(index)
+}
+
 async fn restart(fleet: Arc<GatewayFleet>, index: usize, signal: Signal) -> Result<()> {
     fleet.signal(index, signal)?;
     fleet.wait_end(index, GRACE_SPAN).await?;
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -10,6 +10,17 @@
 /// an unplanned fault may add to it: the silence that has to be noticed first.
 const LEAVING_SPAN: Duration = Duration::from_secs(2);
 const FAULT_SLACK: Duration = Duration::from_secs(5);
+/// Time after its acknowledgement by which a configuration is in force, and how long after a version was
+/// seen at a gateway an older one may still be.
+const CONFIG_SPAN: Duration = Duration::from_secs(2);
+const REVERT_SLACK: Duration = Duration::from_millis(250);
+/// The retry budget and the rate of health checks in the settings of the gateways.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_EXTRA: f64 = 60.0;
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+const CHECKS_PER_S: f64 = 20.0;
+/// Health checks of a server beyond the rate that may come together at its start.
+const CHECKS_SLACK: f64 = 10.0;
 /// Share of requests that must succeed after the last fault.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -28,8 +39,38 @@
     Unanswered,
 }
 
+/// Whether a gateway that says that it is ready had the newest configuration in force.
+#[derive(Debug, Clone, Copy)]
+pub struct VersionSight {
+    /// The gateway.
+    pub index: usize,
+    /// Which of its runs.
+    pub run: u64,
+    /// The newest version when it was asked.
+    pub version: u64,
+    /// When the store acknowledged that version.
+    pub acknowledged: Instant,
+    /// When it was asked.
+    pub asked: Instant,
+    /// Whether that version was in force.
+    pub in_force: bool,
+}
+
+/// Health checks of one server.
+struct CheckCount {
+    first: Instant,
+    checks: u32,
+}
+
 #[derive(Default)]
 struct RecordState {
+    requests: Vec<Instant>,
+    arrived: HashSet<SmolStr>,
+    repeats: Vec<Instant>,
+    checks: HashMap<SmolStr, CheckCount>,
+    /// The highest version that was seen at a run of a gateway, and when.
+    seen: HashMap<(usize, u64), (u64, Instant)>,
+    sights: u64,
     ran: HashMap<SmolStr, u32>,
     refused: HashSet<SmolStr>,
     ends: HashMap<&'static str, u64>,
@@ -40,6 +81,30 @@
     findings: Vec<String>,
 }
 
+impl RecordState {
+    /// The first window in which more repeats reached the servers than the budget allows.
+    fn over_budget(&self) -> Option<String> {
+        self.repeats.iter().find_map(|end| {
+            let in_window = |time: &&Instant| **time <= *end && **time + RETRY_WINDOW > *end;
+            let repeats = self.repeats.iter().filter(in_window).count();
+            let requests = self.requests.iter().filter(in_window).count();
+            let allowed = RETRY_RATIO * requests as f64 + RETRY_EXTRA;
+            (repeats as f64 > allowed)
+                .then(|| format!("{repeats} repeats in a window in which {allowed:.0} are allowed"))
+        })
+    }
+
+    /// A server that was checked more often than allowed.
+    fn over_checked(&self) -> Option<String> {
+        self.checks.iter().find_map(|(server, count)| {
+            let allowed = count.first.elapsed().as_secs_f64() * CHECKS_PER_S + CHECKS_SLACK;
+            let checks = count.checks;
+            (f64::from(checks) > allowed)
+                .then(|| format!("{server} was checked {checks} times, {allowed:.0} are allowed"))
+        })
+    }
+}
+
 /// The record of a run.
 #[derive(Default)]
 pub struct RunRecord {
@@ -128,6 +193,56 @@
         }
     }
 
+    /// A caller sends a request.
+    pub fn note_request(&self) {
+        self.lock().requests.push(Instant::now());
+    }
+
+    /// A request reached a server, whether it ran there or not.
+    pub fn note_arrival(&self, id: &str) {
+        let mut state = self.lock();
+        if id.starts_with("probe-") {
+            state.requests.push(Instant::now());
+        }
+        if !state.arrived.insert(id.into()) {
+            state.repeats.push(Instant::now());
+        }
+    }
+
+    /// A server was asked for its health.
+    pub fn note_check(&self, server: &str) {
+        let mut state = self.lock();
+        let first = CheckCount { first: Instant::now(), checks: 0 };
+        state.checks.entry(server.into()).or_insert(first).checks += 1;
+    }
+
+    /// A gateway was asked for the newest configuration.
+    pub fn note_version(&self, sight: VersionSight) {
+        let mut state = self.lock();
+        state.sights += 1;
+        let key = (sight.index, sight.run);
+        let VersionSight { index, version, asked, .. } = sight;
+        if sight.in_force {
+            let seen = state.seen.entry(key).or_insert((version, asked));
+            if version > seen.0 {
+                *seen = (version, asked);
+            }
+            return;
+        }
+        let seen = state.seen.get(&key).copied();
+        if seen.is_some_and(|(known, at)| known >= version && asked > at + REVERT_SLACK) {
+            state.findings.push(format!("gateway {index} went back behind version {version}"));
+        }
+        let due = sight.acknowledged + CONFIG_SPAN;
+        let due = state.fault_at.map_or(due, |at| due.max(at + FAULT_SLACK));
+        if asked > due {
+            let late = (asked - sight.acknowledged).as_millis();
+            state.findings.push(format!(
+                "gateway {index} had version {version} not in force {late} ms after it was accepted"
+            ));
+        }
+    }
+
     /// Something that must never be seen.
     pub fn note_finding(&self, finding: String) {
         self.lock().findings.push(finding);
@@ -140,8 +255,10 @@
             state.ends.iter().map(|(label, count)| format!("{label} {count}")).collect();
         ends.sort();
         format!(
-            "{}; after the faults {} of {} served",
+            "{}; {} repeats, {} looks at versions; after the faults {} of {} served",
             ends.join(", "),
+            state.repeats.len(),
+            state.sights,
             state.recovery[1],
             state.recovery[0] + state.recovery[1]
         )
@@ -155,6 +272,8 @@
             let broken = state.planned_broken.iter();
             findings.extend(broken.map(|id| format!("{id} broke during planned work")));
         }
+        findings.extend(state.over_budget());
+        findings.extend(state.over_checked());
         let [lost, served] = state.recovery;
         let share = served as f64 / (served + lost).max(1) as f64;
         if share < RECOVERED_SHARE {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod fault;
 mod judge;
+mod probe;
 mod process;
 mod proxy;
 mod store;
@@ -17,7 +18,8 @@
 use crate::caller::run_caller;
 use crate::fault::{FaultKinds, run_faults};
 use crate::judge::RunRecord;
-use crate::process::{GatewayFleet, programs_folder};
+use crate::probe::run_probe;
+use crate::process::{GatewayFleet, OutputTarget, programs_folder};
 use crate::store::StoreStandin;
 use anyhow::{Result, bail};
 use bpaf::Bpaf;
@@ -49,6 +51,8 @@
     callers: usize,
     /// Only planned work: stops, reloads, changes of the configuration, leaving servers
     planned: bool,
+    /// Let the gateways write to pipes that nobody reads
+    stalled_output: bool,
 }
 
 fn main() -> Result<()> {
@@ -63,8 +67,9 @@
     let store = StoreStandin::start().await?;
     let servers = BackendFleet::start(SERVERS, &store, &record).await?;
     store.put_config(1);
-    let fleet =
-        GatewayFleet::start(&programs_folder()?, options.instances, store.address()).await?;
+    let output = if options.stalled_output { OutputTarget::Stalled } else { OutputTarget::Files };
+    let folder = programs_folder()?;
+    let fleet = GatewayFleet::start(&folder, options.instances, store.address(), output).await?;
     let fleet = Arc::new(fleet);
     fleet.wait_ready(READY_TIMEOUT).await?;
     let mut callers = Vec::new();
@@ -72,6 +77,7 @@
         let seed = options.seed.wrapping_mul(1_000).wrapping_add(number as u64);
         callers.push(tokio::spawn(run_caller(seed, Arc::clone(&fleet), Arc::clone(&record))));
     }
+    callers.push(tokio::spawn(run_probe(Arc::clone(&fleet), store.clone(), Arc::clone(&record))));
     let span = Duration::from_secs(options.seconds);
     run_faults(options.seed, kinds, span, &fleet, &store, &servers, &record).await?;
     tokio::time::sleep(RECOVERY_SPAN).await;
--- /dev/null
+++ b/crates/soak/src/probe.rs
@@ -0,0 +1,52 @@
+//! Asks each gateway which configuration is in force, as callers would see it.
+
+use crate::caller::ask_with;
+use crate::judge::{RunRecord, VersionSight};
+use crate::process::GatewayFleet;
+use crate::store::StoreStandin;
+use gateway::WireDialect;
+use http::StatusCode;
+use platform::PlatformDialect;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Pause between two rounds over all gateways.
+const ROUND_PAUSE: Duration = Duration::from_millis(120);
+
+/// Asks until the run ends.
+pub async fn run_probe(fleet: Arc<GatewayFleet>, store: StoreStandin, record: Arc<RunRecord>) {
+    let dialect = PlatformDialect::default();
+    let mut number = 0_u64;
+    while !record.is_stopped() {
+        for index in 0..fleet.count() {
+            number += 1;
+            let run = fleet.run(index);
+            let addresses = fleet.addresses(index);
+            let (version, acknowledged) = store.newest();
+            let is_ready = matches!(
+                crate::caller::ask(addresses.ready, dialect.ready_path()).await,
+                Ok((StatusCode::OK, _))
+            );
+            if !is_ready {
+                continue;
+            }
+            let asked = Instant::now();
+            let path = format!("/v{version}/x");
+            let id = format!("probe-{number}");
+            let answer = ask_with(addresses.callers, &path, &dialect, &id).await;
+            let in_force = match answer {
+                Ok((StatusCode::OK, _)) => true,
+                Ok((StatusCode::NOT_FOUND, _)) => false,
+                // Other answers tell nothing of the configuration.
+                _ => continue,
+            };
+            // A version that came meanwhile has other routes.
+            let is_newest = store.newest().0 == version;
+            if run == fleet.run(index) && is_newest {
+                let sight = VersionSight { index, run, version, acknowledged, asked, in_force };
+                record.note_version(sight);
+            }
+        }
+        tokio::time::sleep(ROUND_PAUSE).await;
+    }
+}
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -38,6 +38,17 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// How often it was started.
+    run: u64,
+}
+
+/// Where the output of the gateways goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OutputTarget {
+    /// To files.
+    Files,
+    /// To pipes that nobody reads.
+    Stalled,
 }
 
 impl Drop for GatewayProcess {
@@ -54,12 +65,18 @@
 /// All gateways.
 pub struct GatewayFleet {
     program: PathBuf,
+    output: OutputTarget,
     processes: Vec<Mutex<GatewayProcess>>,
 }
 
 impl GatewayFleet {
     /// Starts gateways with settings and logs in a folder of their own.
-    pub async fn start(folder: &Path, count: usize, store: SocketAddr) -> Result<Self> {
+    pub async fn start(
+        folder: &Path,
+        count: usize,
+        store: SocketAddr,
+        output: OutputTarget,
+    ) -> Result<Self> {
         let program = folder.join("lacewing-gateway");
         let scratch = std::env::temp_dir().join(format!("lacewing-soak-{}", std::process::id()));
         std::fs::create_dir_all(&scratch)?;
@@ -89,9 +106,15 @@
             let settings = scratch.join(format!("g{index}.ini"));
             std::fs::write(&settings, text)?;
             let log = scratch.join(format!("g{index}.log"));
-            processes.push(Mutex::new(GatewayProcess { addresses, settings, log, child: None }));
+            processes.push(Mutex::new(GatewayProcess {
+                addresses,
+                settings,
+                log,
+                child: None,
+                run: 0,
+            }));
         }
-        let fleet = Self { program, processes };
+        let fleet = Self { program, output, processes };
         for index in 0..count {
             fleet.launch(index)?;
         }
@@ -112,6 +135,25 @@
         self.with(index, |process| process.addresses)
     }
 
+    /// How often a gateway was started.
+    pub fn run(&self, index: usize) -> u64 {
+        self.with(index, |process| process.run)
+    }
+
+    /// Sets the difference of a gateway's clock, from its next start on.
+    pub fn set_clock(&self, index: usize, offset_s: i64) -> Result<()> {
+        let settings = self.with(index, |process| process.settings.clone());
+        let text = std::fs::read_to_string(&settings)?;
+        let kept = text.lines().filter(|line| !line.starts_with("clock_offset_s"));
+        let text: Vec<String> = kept
+            .flat_map(|line| match line {
+                "[instance]" => vec![line.into(), format!("clock_offset_s = {offset_s}")],
+                _ => vec![line.to_owned()],
+            })
+            .collect();
+        Ok(std::fs::write(&settings, text.join("\n"))?)
+    }
+
     /// Starts a gateway that does not run.
     pub fn launch(&self, index: usize) -> Result<()> {
         let program = self.program.clone();
@@ -122,10 +164,14 @@
                 .arg(&process.settings)
                 .stdin(Stdio::null())
                 .stderr(log.try_clone()?)
-                .stdout(log)
+                .stdout(match self.output {
+                    OutputTarget::Files => Stdio::from(log),
+                    OutputTarget::Stalled => Stdio::piped(),
+                })
                 .spawn()
                 .with_context(|| format!("starting {}", program.display()))?;
             process.child = Some(child);
+            process.run += 1;
             Ok(())
         })
     }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -22,6 +22,8 @@
     Reset,
     /// Swallows what comes back; requests still arrive.
     SilenceBack,
+    /// Swallows what goes there; answers still come back.
+    SilenceThere,
     /// Swallows both ways; new connections are accepted and stay silent.
     Silence,
 }
@@ -99,6 +101,7 @@
         match *mode.borrow() {
             ProxyMode::Silence => is_silent = true,
             ProxyMode::SilenceBack if is_back => is_silent = true,
+            ProxyMode::SilenceThere if !is_back => is_silent = true,
             _ => {}
         }
         let delay = match *mode.borrow() {
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -49,6 +49,7 @@
     leases: u64,
     mood: StoreMood,
     version: u64,
+    version_at: Instant,
 }
 
 /// The store.
@@ -91,6 +92,7 @@
             leases: 0,
             mood: StoreMood::Well,
             version: 0,
+            version_at: Instant::now(),
         }));
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let proxy = FaultProxy::start(listener.local_addr()?).await?;
@@ -121,12 +123,14 @@
         let text = CONFIG_SAMPLE.replace("@VERSION@", &version.to_string());
         let mut state = lock(&self.state);
         state.version = version;
+        state.version_at = Instant::now();
         state.set(CONFIG_KEY, Some(STANDARD.encode(text)));
     }
 
-    /// The newest version.
-    pub fn version(&self) -> u64 {
-        lock(&self.state).version
+    /// The newest version, and when it was acknowledged.
+    pub fn newest(&self) -> (u64, Instant) {
+        let state = lock(&self.state);
+        (state.version, state.version_at)
     }
 
     /// Writes the record of a server.
