--- a/crates/balance/src/estimates.rs
+++ b/crates/balance/src/estimates.rs
@@ -213,6 +213,11 @@
     }
 }
 
+/// Order of the servers of a service.
+fn order_of(key: &ServerKey) -> (&str, u64) {
+    (key.name.as_str(), key.incarnation.0)
+}
+
 /// State of all backend servers in this instance's replica of the store.
 #[derive(Debug, Clone)]
 pub struct LoadEstimates {
@@ -232,32 +237,49 @@
 }
 
 impl LoadEstimates {
-    /// Replaces the set of servers. A server that remains keeps its state; one that is leaving
-    /// stays so until its next incarnation.
-    pub fn set_servers(&mut self, now: MonoTime, specs: Vec<BackendSpec>) {
-        let mut known = std::mem::take(&mut self.servers);
-        self.by_service.clear();
-        for spec in specs {
-            let state = match known.remove(&spec.key) {
-                Some(mut state) => {
-                    let is_leaving = state.spec.is_leaving || spec.is_leaving;
-                    if spec.warm_up_left != state.spec.warm_up_left {
-                        state.warm_up_until = now.plus(spec.warm_up_left.duration());
-                    }
-                    if spec.address != state.spec.address {
-                        state.is_misdirected = false;
-                    }
-                    state.spec = BackendSpec { is_leaving, ..spec };
-                    state
-                }
-                None => BackendState::new(now, spec),
-            };
-            let key = state.spec.key.clone();
-            self.by_service.entry(state.spec.service.clone()).or_default().push(key.clone());
-            self.servers.insert(key, state);
+    /// Adds a server, or updates the specification of a known one, which keeps its state. One that is
+    /// leaving stays so until its next incarnation.
+    pub fn upsert_server(&mut self, now: MonoTime, spec: BackendSpec) {
+        let key = spec.key.clone();
+        let Some(state) = self.servers.get_mut(&key) else {
+            self.index_server(&spec);
+            self.servers.insert(key, BackendState::new(now, spec));
+            return;
+        };
+        let is_leaving = state.spec.is_leaving || spec.is_leaving;
+        if spec.warm_up_left != state.spec.warm_up_left {
+            state.warm_up_until = now.plus(spec.warm_up_left.duration());
+        }
+        if spec.address != state.spec.address {
+            state.is_misdirected = false;
         }
-        for keys in self.by_service.values_mut() {
-            keys.sort_by(|left, right| left.name.as_str().cmp(right.name.as_str()));
+        let earlier = std::mem::replace(&mut state.spec, BackendSpec { is_leaving, ..spec });
+        if earlier.service != self.servers[&key].spec.service {
+            self.unindex_server(&earlier);
+            let spec = self.servers[&key].spec.clone();
+            self.index_server(&spec);
+        }
+    }
+
+    /// Removes a server. Exchanges in progress there are no longer counted.
+    pub fn remove_server(&mut self, key: &ServerKey) {
+        if let Some(state) = self.servers.remove(key) {
+            self.unindex_server(&state.spec);
+        }
+    }
+
+    fn index_server(&mut self, spec: &BackendSpec) {
+        let keys = self.by_service.entry(spec.service.clone()).or_default();
+        let place = keys.partition_point(|known| order_of(known) < order_of(&spec.key));
+        keys.insert(place, spec.key.clone());
+    }
+
+    fn unindex_server(&mut self, spec: &BackendSpec) {
+        if let Some(keys) = self.by_service.get_mut(&spec.service) {
+            keys.retain(|known| *known != spec.key);
+            if keys.is_empty() {
+                self.by_service.remove(&spec.service);
+            }
         }
     }
 
@@ -271,7 +293,7 @@
     }
 
     /// Returns all servers, in no particular order.
-    pub fn servers(&self) -> impl Iterator<Item = &BackendState> {
+    pub fn servers(&self) -> impl ExactSizeIterator<Item = &BackendState> {
         self.servers.values()
     }
 
--- a/crates/balance/tests/placement.rs
+++ b/crates/balance/tests/placement.rs
@@ -53,7 +53,8 @@
         }
         ServerCase::Avoided => submitted.avoid = vec![key(0)],
         ServerCase::Unused => {
-            queue.estimates.set_servers(at(47), vec![spec(1, "north"), spec(2, "south")]);
+            queue.estimates.remove_server(&key(0));
+            queue.estimates.upsert_server(at(47), spec(2, "south"));
         }
         ServerCase::Unreachable => {
             queue.estimates.start_exchange(at(46), &key(0), 1);
--- a/crates/balance/tests/queue.rs
+++ b/crates/balance/tests/queue.rs
@@ -120,9 +120,9 @@
     let mut queue = queue(vec![spec(0, "north"), spec(1, "north")]);
     let mut leaving = spec(0, "north");
     leaving.is_leaving = true;
-    queue.estimates.set_servers(at(1), vec![leaving, spec(1, "north")]);
+    queue.estimates.upsert_server(at(1), leaving);
     // An outdated record without the mark does not undo it.
-    queue.estimates.set_servers(at(2), vec![spec(0, "north"), spec(1, "north")]);
+    queue.estimates.upsert_server(at(2), spec(0, "north"));
     for _ in 0..2 {
         let (_, chosen) = expect_sent(&mut queue, at(3), request(at(3), 1));
         assert_eq!(chosen, key(1));
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -88,7 +88,9 @@
         QueuePolicy { data_centre: "north".parse().expect("name"), waiting_max, budget: BUDGET };
     let mut queue = RequestQueue::new(policy, Box::new(ExpectedFinish::with_seed(1)));
     let keys: Vec<ServerKey> = specs.iter().map(|spec| spec.key.clone()).collect();
-    queue.estimates.set_servers(at(0), specs);
+    for spec in specs {
+        queue.estimates.upsert_server(at(0), spec);
+    }
     for (index, key) in keys.iter().enumerate() {
         let exchange_id = 1_000_000 + index as u64;
         queue.estimates.start_exchange(at(0), key, exchange_id);
--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -32,6 +32,24 @@
     pub version: ConfigVersion,
 }
 
+/// A heartbeat as one instance received it, passed on to others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeardHeartbeat {
+    /// The heartbeat, without the sender's record.
+    pub heartbeat: HeartbeatMessage,
+    /// Time since it was received.
+    pub age: Millis,
+    /// Whether the sender counts as unresponsive since.
+    pub is_unresponsive: bool,
+}
+
+impl HeardHeartbeat {
+    /// A heartbeat that was received just now.
+    pub fn now(heartbeat: HeartbeatMessage) -> Self {
+        Self { heartbeat, age: Millis(0), is_unresponsive: false }
+    }
+}
+
 /// Consecutive changes of the store, relayed to another instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangeBatch {
@@ -80,6 +98,8 @@
     Changes(ChangeBatch),
     /// A health checker's reports on the servers of its data centre.
     LoadReports(Vec<LoadRow>),
+    /// Heartbeats passed on within a data centre, the relay's own among them.
+    Relayed(Vec<HeardHeartbeat>),
 }
 
 /// The reply to an instance that pulls the store's changes after a revision.
--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -3,8 +3,9 @@
 //! Only a few homes place all requests: each then sees a large part of the responses and uses a
 //! large part of the slots. All instances rank the members alike, by weighted rendezvous hashing.
 
-use crate::member::MemberView;
+use crate::record::MemberRecord;
 use model::{DataCentre, InstanceName};
+use std::collections::BTreeMap;
 
 /// Rule for the number of homes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,19 +29,20 @@
     }
 }
 
-/// Orders members by descending rendezvous score, with names as tie-breaker.
-pub fn rank_members(members: &[MemberView]) -> Vec<&MemberView> {
-    let mut weighted: Vec<(f64, &MemberView)> = members
-        .iter()
-        .map(|member| (score(&member.record.name, member.record.capacity), member))
-        .collect();
-    weighted.sort_by(|left, right| {
-        right
-            .0
-            .total_cmp(&left.0)
-            .then_with(|| left.1.record.name.as_str().cmp(right.1.record.name.as_str()))
-    });
-    weighted.into_iter().map(|(_, member)| member).collect()
+/// Place of a member in the ranking: by descending rendezvous score, with the name as tie-breaker.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RankKey {
+    /// Complement of the score's bits. The bits of positive floats are ordered like the floats.
+    descending_score: u64,
+    name: InstanceName,
+}
+
+impl RankKey {
+    /// Returns the place of a member.
+    pub fn of(record: &MemberRecord) -> Self {
+        let score = score(&record.name, record.capacity);
+        Self { descending_score: !score.to_bits(), name: record.name.clone() }
+    }
 }
 
 /// Returns the rendezvous score of a member by the logarithmic method: the probability of the
@@ -55,41 +57,37 @@
     -weight / fraction.ln()
 }
 
-/// Returns up to `count` homes: usable members in rank order, spread evenly over data centres.
-pub fn choose_homes<'a>(ranked: &[&'a MemberView], count: usize) -> Vec<&'a MemberView> {
-    let usable: Vec<&MemberView> =
-        ranked.iter().copied().filter(|member| member.is_usable).collect();
-    let mut homes: Vec<&MemberView> = Vec::new();
-    while homes.len() < count.min(usable.len()) {
-        let homes_in = |centre: &DataCentre| {
-            homes.iter().filter(|home| home.record.data_centre == *centre).count()
-        };
-        let is_chosen =
-            |member: &MemberView| homes.iter().any(|home| home.record.name == member.record.name);
-        let next = usable
-            .iter()
-            .enumerate()
-            .filter(|(_, member)| !is_chosen(member))
-            .min_by_key(|(rank, member)| (homes_in(&member.record.data_centre), *rank));
-        match next {
-            Some((_, member)) => homes.push(member),
-            None => break,
-        }
-    }
-    homes
+/// Returns up to `count` homes of the usable members, which are given in rank order. They are spread
+/// evenly over data centres: the first of each data centre, then the second of each, and so on.
+pub fn choose_homes<'a>(usable: &[&'a MemberRecord], count: usize) -> Vec<&'a MemberRecord> {
+    let mut seen: BTreeMap<&DataCentre, usize> = BTreeMap::new();
+    let mut homes: Vec<(usize, &MemberRecord)> = usable
+        .iter()
+        .map(|member| {
+            let place = seen.entry(&member.data_centre).or_default();
+            *place += 1;
+            (*place, *member)
+        })
+        .collect();
+    homes.sort_by_key(|(place, _)| *place);
+    homes.into_iter().take(count).map(|(_, member)| member).collect()
 }
 
-/// Returns the health checkers: the first usable member of each data centre in rank order. Each
-/// checks the servers of its own data centre, so health checks do not cross data centres.
-pub fn choose_health_checkers<'a>(ranked: &[&'a MemberView]) -> Vec<&'a MemberView> {
-    let mut health_checkers: Vec<&MemberView> = Vec::new();
-    for member in ranked.iter().copied().filter(|member| member.is_usable) {
-        let has_checker = health_checkers
-            .iter()
-            .any(|health_checker| health_checker.record.data_centre == member.record.data_centre);
-        if !has_checker {
-            health_checkers.push(member);
+/// Returns the first `count` usable members of each data centre; `usable` is in rank order. With
+/// one for each data centre these are the health checkers: each checks the servers of its own data
+/// centre, so health checks do not cross data centres.
+pub fn first_of_each_centre<'a>(
+    usable: &[&'a MemberRecord],
+    count: usize,
+) -> Vec<&'a MemberRecord> {
+    let mut seen: BTreeMap<&DataCentre, usize> = BTreeMap::new();
+    let mut first = Vec::new();
+    for member in usable {
+        let place = seen.entry(&member.data_centre).or_default();
+        *place += 1;
+        if *place <= count {
+            first.push(*member);
         }
     }
-    health_checkers
+    first
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,10 +14,11 @@
 mod watch;
 
 pub use datagram::{
-    ChangeBatch, DATAGRAM_MAX_BYTES, HeartbeatMessage, LoadRow, PeerDatagram, PullReply, server_tag,
+    ChangeBatch, DATAGRAM_MAX_BYTES, HeardHeartbeat, HeartbeatMessage, LoadRow, PeerDatagram,
+    PullReply, server_tag,
 };
-pub use home::{HomePolicy, choose_health_checkers, choose_homes, rank_members};
-pub use member::{MemberTable, MemberView};
+pub use home::HomePolicy;
+pub use member::{FleetSurvey, MemberTable};
 pub use record::{MemberRecord, RecordDecoder, StoreRecord};
 pub use registrar::{ANNOUNCE_INTERVAL, BATCH_RECORDS_MAX, LEASE_TTL, MemberRegistrar};
 pub use relay::{ChangeOrigin, RelayView};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,39 +1,94 @@
 //! Membership of the fleet: which instances exist and which are usable, from the store's records and
 //! from heartbeats.
 
-use crate::datagram::HeartbeatMessage;
-use crate::home::rank_members;
+use crate::datagram::{HeardHeartbeat, HeartbeatMessage};
+use crate::home::{RankKey, choose_homes, first_of_each_centre};
 use crate::record::MemberRecord;
-use model::{DataCentre, IncarnationId, InstanceName, MonoTime, StoreRevision};
-use std::collections::{BTreeMap, BTreeSet};
+use model::{DataCentre, IncarnationId, InstanceName, Millis, MonoTime, StoreRevision};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Time without a heartbeat after which an instance that should send them counts as unresponsive.
 /// Three heartbeats are missing by then.
 pub const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Replaces [`HEARTBEAT_TIMEOUT`] for members of the own data centre whose heartbeats are relayed.
+const RELAYED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Replaces [`HEARTBEAT_TIMEOUT`] for members elsewhere whose heartbeats are relayed. The relays say
+/// earlier if one is unresponsive; without their word more likely the relays failed.
+const REMOTE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time since the latest heartbeat after which an instance without a record in the store is dropped.
 const UNREGISTERED_TTL: Duration = Duration::from_secs(10);
-
-/// A member of the fleet with its status as this instance sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberView {
-    /// The newest record known of the member.
-    pub record: MemberRecord,
-    /// Whether callers may be directed to the member.
-    pub is_usable: bool,
-}
+/// Number of members, by rank, that send heartbeats. If one fails, the next in rank replaces it.
+const SENDERS_MIN: usize = 5;
+/// Largest fleet in which each sender reaches all members itself. In a larger one the relays of each
+/// data centre pass the heartbeats on.
+const DIRECT_MEMBERS_MAX: usize = 40;
+/// Number of members of each data centre that relay heartbeats there, if heartbeats are relayed.
+const RELAYS_PER_CENTRE: usize = 2;
+/// Number of usable members that a survey ranks at least. Later members do not act by their rank.
+const RANKED_MIN: usize = 20;
 
 #[derive(Debug, Clone)]
 struct MemberState {
     record: MemberRecord,
     /// Whether the store has a record of the member.
     is_registered: bool,
-    /// The latest heartbeat and the time at which it was received.
-    latest_heartbeat: Option<(MonoTime, HeartbeatMessage)>,
     /// Time from which heartbeats of the member are expected; `None` if it need not send any.
     expected_since: Option<MonoTime>,
 }
 
+#[derive(Debug, Clone)]
+struct HeardState {
+    /// When the heartbeat was received, by this instance or by the one that relayed it.
+    at: MonoTime,
+    message: HeartbeatMessage,
+    /// Whether a relay reported the member as unresponsive since.
+    is_unresponsive: bool,
+}
+
+impl HeardState {
+    fn is_recent(&self, now: MonoTime) -> bool {
+        !self.is_unresponsive && now.since(self.at) <= HEARTBEAT_TIMEOUT
+    }
+}
+
+/// The members with a duty, as one instance determines them.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct FleetSurvey {
+    /// The instances to which callers are directed, in rank order.
+    pub homes: Vec<MemberRecord>,
+    /// The first usable member of each data centre, which checks the servers there.
+    pub health_checkers: Vec<MemberRecord>,
+    /// Members that send heartbeats because of their rank in their data centre, and the homes.
+    pub relays: Vec<MemberRecord>,
+    /// Members that relay heartbeats to the rest of their data centre; empty in a small fleet.
+    pub centre_relays: Vec<MemberRecord>,
+    /// Number of usable members before this instance in rank order. Exact for the first members
+    /// only.
+    pub rank: usize,
+}
+
+impl FleetSurvey {
+    /// Whether the member is among those that send heartbeats.
+    pub fn is_sender(&self, member: &MemberRecord) -> bool {
+        self.rank < SENDERS_MIN || contains(&self.relays, member)
+    }
+
+    /// Whether the member relays heartbeats to the rest of its data centre.
+    pub fn is_centre_relay(&self, member: &MemberRecord) -> bool {
+        contains(&self.centre_relays, member)
+    }
+
+    /// Whether the member is sent all heartbeats by their senders.
+    pub fn is_relay(&self, member: &MemberRecord) -> bool {
+        contains(&self.relays, member)
+    }
+}
+
+fn contains(members: &[MemberRecord], member: &MemberRecord) -> bool {
+    members.iter().any(|known| known.name == member.name)
+}
+
 /// The members of the fleet that this instance knows, itself included.
 #[derive(Debug, Clone)]
 pub struct MemberTable {
@@ -41,22 +96,33 @@
     /// Incarnation of this instance in the store's record.
     registered_incarnation: Option<IncarnationId>,
     is_ready: bool,
-    /// All members except this instance.
-    members: BTreeMap<InstanceName, MemberState>,
-    /// Number of members, in rank order, that send heartbeats to all others.
-    sender_count: usize,
+    /// All members except this instance, in rank order.
+    members: BTreeMap<RankKey, MemberState>,
+    /// Places of the members in `members`.
+    places: HashMap<InstanceName, RankKey>,
+    /// The latest heartbeats of members that sent one lately. Few do.
+    heard: HashMap<InstanceName, HeardState>,
+    /// Number of members, this instance included, by data centre.
+    centres: BTreeMap<DataCentre, usize>,
+    /// Members from which the latest survey expected heartbeats.
+    expected: BTreeSet<RankKey>,
+    /// Since when this instance receives heartbeats from their senders; `None` if they are relayed.
+    direct_since: Option<MonoTime>,
 }
 
 impl MemberTable {
-    /// Creates a table of this instance alone. The first `sender_count` usable members, in rank order,
-    /// send heartbeats to all others.
-    pub fn new(this: MemberRecord, sender_count: usize) -> Self {
+    /// Creates a table of this instance alone.
+    pub fn new(this: MemberRecord) -> Self {
         Self {
-            this,
             registered_incarnation: None,
             is_ready: false,
             members: BTreeMap::new(),
-            sender_count,
+            places: HashMap::new(),
+            heard: HashMap::new(),
+            centres: BTreeMap::from([(this.data_centre.clone(), 1)]),
+            expected: BTreeSet::new(),
+            direct_since: Some(MonoTime(0)),
+            this,
         }
     }
 
@@ -88,57 +154,102 @@
         self.is_ready
     }
 
-    /// Replaces the set of registered members by the store's records. A member that the store no
-    /// longer has stays for `UNREGISTERED_TTL` after its latest heartbeat.
-    pub fn set_registered(&mut self, records: Vec<MemberRecord>) {
-        for state in self.members.values_mut() {
-            state.is_registered = false;
+    /// Returns the number of members, this instance included.
+    pub fn member_count(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Returns the number of data centres with members.
+    pub fn centre_count(&self) -> usize {
+        self.centres.len()
+    }
+
+    /// Adds a member of which the store has a record. A record of an earlier incarnation than the
+    /// known one changes nothing else.
+    pub fn register(&mut self, record: MemberRecord) {
+        if record.name == self.this.name {
+            self.registered_incarnation = Some(record.incarnation);
+            return;
         }
-        for record in records {
-            if record.name == self.this.name {
-                self.registered_incarnation = Some(record.incarnation);
-                continue;
-            }
-            let state = self.members.entry(record.name.clone()).or_insert_with(|| MemberState {
-                record: record.clone(),
-                is_registered: true,
-                latest_heartbeat: None,
-                expected_since: None,
-            });
+        if let Some(state) = self.member_mut(&record.name) {
             state.is_registered = true;
-            if record.incarnation > state.record.incarnation {
-                *state = MemberState {
-                    record,
-                    is_registered: true,
-                    latest_heartbeat: None,
-                    expected_since: None,
-                };
+            if record.incarnation <= state.record.incarnation {
+                return;
+            }
+            self.heard.remove(&record.name);
+        }
+        self.insert(record, true);
+    }
+
+    /// Records that the store no longer has a record of a member. It stays for `UNREGISTERED_TTL`
+    /// after its latest heartbeat.
+    pub fn unregister(&mut self, name: &InstanceName) {
+        let Some(state) = self.member_mut(name) else {
+            return;
+        };
+        state.is_registered = false;
+        if !self.heard.contains_key(name) {
+            self.remove(name);
+        }
+    }
+
+    fn member(&self, name: &InstanceName) -> Option<&MemberState> {
+        self.members.get(self.places.get(name)?)
+    }
+
+    fn member_mut(&mut self, name: &InstanceName) -> Option<&mut MemberState> {
+        self.members.get_mut(self.places.get(name)?)
+    }
+
+    fn insert(&mut self, record: MemberRecord, is_registered: bool) {
+        self.remove(&record.name);
+        let place = RankKey::of(&record);
+        *self.centres.entry(record.data_centre.clone()).or_default() += 1;
+        self.places.insert(record.name.clone(), place.clone());
+        self.members.insert(place, MemberState { record, is_registered, expected_since: None });
+    }
+
+    fn remove(&mut self, name: &InstanceName) {
+        let removed = self.places.remove(name).and_then(|place| self.members.remove(&place));
+        let Some(state) = removed else {
+            return;
+        };
+        if let Some(count) = self.centres.get_mut(&state.record.data_centre) {
+            *count -= 1;
+            if *count == 0 {
+                self.centres.remove(&state.record.data_centre);
             }
         }
-        self.members.retain(|_, state| state.is_registered || state.latest_heartbeat.is_some());
     }
 
-    /// Records a heartbeat. Returns whether the sender was unknown or had counted as unresponsive.
+    /// Records a heartbeat that was received just now from its sender. Returns whether the sender was
+    /// unknown or had counted as unresponsive.
     ///
     /// Ignores a heartbeat without a record from an unknown instance, and one of an earlier
     /// incarnation while heartbeats of a later one are recent.
     pub fn record_heartbeat(&mut self, now: MonoTime, heartbeat: HeartbeatMessage) -> bool {
+        self.record_heard(now, HeardHeartbeat::now(heartbeat))
+    }
+
+    /// Records a heartbeat that a relay passed on. Returns like [`Self::record_heartbeat`]. Ignores one
+    /// that is older than the latest known.
+    pub fn record_heard(&mut self, now: MonoTime, heard: HeardHeartbeat) -> bool {
+        let HeardHeartbeat { heartbeat, age, is_unresponsive } = heard;
         if heartbeat.name == self.this.name {
             return false;
         }
-        let known = self.members.get(&heartbeat.name);
-        let is_other_incarnation =
-            known.is_none_or(|known| known.record.incarnation != heartbeat.incarnation);
-        if let Some(known) = known
-            && known.record.incarnation > heartbeat.incarnation
-            && known
-                .latest_heartbeat
-                .as_ref()
-                .is_some_and(|(at, _)| now.since(*at) <= HEARTBEAT_TIMEOUT)
-        {
+        let at = now.before(age.duration());
+        let latest = self.heard.get(&heartbeat.name);
+        if latest.is_some_and(|latest| latest.at > at) {
             return false;
         }
-        if is_other_incarnation {
+        let was_recent = latest.is_some_and(|latest| latest.is_recent(now));
+        let known = self.member(&heartbeat.name);
+        let known_incarnation = known.map(|known| known.record.incarnation);
+        if was_recent && known_incarnation.is_some_and(|known| known > heartbeat.incarnation) {
+            return false;
+        }
+        if known_incarnation != Some(heartbeat.incarnation) {
             // A restarted process has the same addresses as the one before.
             let known_record = known.map(|known| MemberRecord {
                 incarnation: heartbeat.incarnation,
@@ -148,78 +259,101 @@
                 return false;
             };
             let is_registered = known.is_some_and(|known| known.is_registered);
-            let state =
-                MemberState { record, is_registered, latest_heartbeat: None, expected_since: None };
-            self.members.insert(heartbeat.name.clone(), state);
+            self.insert(record, is_registered);
         }
-        let Some(state) = self.members.get_mut(&heartbeat.name) else {
-            return false;
-        };
-        let was_unresponsive = state
-            .latest_heartbeat
-            .as_ref()
-            .is_none_or(|(at, _)| now.since(*at) > HEARTBEAT_TIMEOUT);
-        state.latest_heartbeat = Some((now, heartbeat));
-        was_unresponsive
-    }
-
-    /// Returns all members in rank order, this instance included. Drops unregistered members whose
-    /// latest heartbeat is older than `UNREGISTERED_TTL`.
-    pub fn views(&mut self, now: MonoTime) -> Vec<MemberView> {
-        self.members.retain(|_, state| {
-            state.is_registered
-                || state
-                    .latest_heartbeat
-                    .as_ref()
-                    .is_some_and(|(at, _)| now.since(*at) < UNREGISTERED_TTL)
-        });
-        let this = MemberView { record: self.this.clone(), is_usable: self.is_ready };
-        let mut views: Vec<MemberView> = self
-            .members
-            .values()
-            .map(|state| MemberView { record: state.record.clone(), is_usable: true })
-            .chain([this])
+        let message = HeartbeatMessage { record: None, ..heartbeat };
+        let name = message.name.clone();
+        self.heard.insert(name, HeardState { at, message, is_unresponsive });
+        !was_recent && !is_unresponsive
+    }
+
+    /// Determines the members with a duty, for `home_count` homes. Takes time in proportion to the
+    /// number of those members, not of all.
+    pub fn survey(&mut self, now: MonoTime, home_count: usize) -> FleetSurvey {
+        self.drop_unregistered(now);
+        let is_relayed = self.member_count() > DIRECT_MEMBERS_MAX;
+        let centre_homes = home_count.div_ceil(self.centres.len().max(1));
+        let per_centre =
+            if is_relayed { centre_homes.max(RELAYS_PER_CENTRE) } else { centre_homes };
+        let mut walk = SurveyWalk::new(now, per_centre, &self.centres);
+        self.walk(&mut walk);
+        let usable: Vec<&MemberRecord> = walk
+            .usable
+            .iter()
+            .map(|place| match self.members.get(place) {
+                Some(state) => &state.record,
+                None => &self.this,
+            })
             .collect();
-        views = rank_members(&views).into_iter().cloned().collect();
-        self.update_usability(now, &mut views);
-        views
-    }
-
-    /// Sets which members are usable. Heartbeats are expected from the first `sender_count` responsive
-    /// members in rank order and from the first usable member of each data centre.
-    fn update_usability(&mut self, now: MonoTime, views: &mut [MemberView]) {
-        let mut expected = 0;
-        let mut centres: BTreeSet<DataCentre> = BTreeSet::new();
-        for view in views {
-            let centre = view.record.data_centre.clone();
-            if view.record.name == self.this.name {
-                expected += usize::from(self.is_ready);
-                if self.is_ready {
-                    centres.insert(centre);
-                }
-                continue;
+        let cloned = |members: Vec<&MemberRecord>| members.into_iter().cloned().collect();
+        let homes: Vec<MemberRecord> = cloned(choose_homes(&usable, home_count));
+        let mut relays: Vec<MemberRecord> = cloned(first_of_each_centre(&usable, per_centre));
+        for home in &homes {
+            if !contains(&relays, home) {
+                relays.push(home.clone());
             }
-            let Some(state) = self.members.get_mut(&view.record.name) else {
-                continue;
-            };
-            let is_expected = expected < self.sender_count || !centres.contains(&centre);
-            if !is_expected {
+        }
+        let centre_relays = if is_relayed { RELAYS_PER_CENTRE } else { 0 };
+        let survey = FleetSurvey {
+            health_checkers: cloned(first_of_each_centre(&usable, 1)),
+            centre_relays: cloned(first_of_each_centre(&usable, centre_relays)),
+            homes,
+            relays,
+            rank: walk.rank.unwrap_or(walk.usable.len()),
+        };
+        for place in self.expected.difference(&walk.expected) {
+            if let Some(state) = self.members.get_mut(place) {
                 state.expected_since = None;
-            } else if state.expected_since.is_none() {
-                state.expected_since = Some(now);
             }
-            let heartbeat_at = state.latest_heartbeat.as_ref().map(|(at, _)| *at);
-            let waiting_since = state.expected_since.max(heartbeat_at);
-            let is_unresponsive =
-                is_expected && waiting_since.is_some_and(|at| now.since(at) > HEARTBEAT_TIMEOUT);
-            let is_recent = heartbeat_at.is_some_and(|at| now.since(at) <= HEARTBEAT_TIMEOUT);
-            let reports_ready =
-                state.latest_heartbeat.as_ref().is_none_or(|(_, heartbeat)| heartbeat.is_ready);
-            view.is_usable = !is_unresponsive && (reports_ready || (!is_recent && !is_expected));
-            expected += usize::from(!is_unresponsive);
-            if view.is_usable {
-                centres.insert(centre);
+        }
+        self.expected = walk.expected;
+        self.direct_since = match self.direct_since {
+            _ if is_relayed && !survey.is_relay(&self.this) => None,
+            None => Some(now),
+            since => since,
+        };
+        survey
+    }
+
+    /// Drops unregistered members whose latest heartbeat is older than `UNREGISTERED_TTL`.
+    fn drop_unregistered(&mut self, now: MonoTime) {
+        let is_old = |heard: &HeardState| now.since(heard.at) >= UNREGISTERED_TTL;
+        let old: Vec<InstanceName> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| is_old(heard))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in old {
+            self.heard.remove(&name);
+            if self.member(&name).is_some_and(|state| !state.is_registered) {
+                self.remove(&name);
+            }
+        }
+    }
+
+    /// Visits members in rank order until all duties are assigned.
+    fn walk(&mut self, walk: &mut SurveyWalk) {
+        let this_place = RankKey::of(&self.this);
+        let mut is_this_due = true;
+        for (place, state) in &mut self.members {
+            if is_this_due && this_place < *place {
+                walk.visit_this(&this_place, &self.this, self.is_ready);
+                is_this_due = false;
+            }
+            if walk.is_complete() {
+                return;
             }
+            let heard = self.heard.get(&state.record.name);
+            let timeout = match self.direct_since {
+                Some(_) => HEARTBEAT_TIMEOUT,
+                None if state.record.data_centre == self.this.data_centre => RELAYED_TIMEOUT,
+                None => REMOTE_TIMEOUT,
+            };
+            walk.visit(place, state, heard, self.direct_since, timeout);
+        }
+        if is_this_due {
+            walk.visit_this(&this_place, &self.this, self.is_ready);
         }
     }
 
@@ -229,25 +363,122 @@
         &self,
         now: MonoTime,
     ) -> impl Iterator<Item = (&MemberRecord, &HeartbeatMessage)> {
-        self.members.values().filter_map(move |state| {
-            let (at, heartbeat) = state.latest_heartbeat.as_ref()?;
-            (now.since(*at) <= HEARTBEAT_TIMEOUT).then_some((&state.record, heartbeat))
+        self.heard.values().filter(move |heard| heard.is_recent(now)).filter_map(|heard| {
+            let state = self.member(&heard.message.name)?;
+            Some((&state.record, &heard.message))
         })
     }
 
+    /// Returns the heartbeats to pass on to members that do not receive them from their senders.
+    pub fn relayed_heartbeats(&self, now: MonoTime) -> Vec<HeardHeartbeat> {
+        self.heard
+            .values()
+            .filter(|heard| now.since(heard.at) < REMOTE_TIMEOUT)
+            .map(|heard| HeardHeartbeat {
+                heartbeat: heard.message.clone(),
+                age: Millis::from(now.since(heard.at)),
+                is_unresponsive: !heard.is_recent(now),
+            })
+            .collect()
+    }
+
     /// Returns the members whose latest heartbeat reports a newer revision of the store than `after`.
     pub fn ahead_of(&self, now: MonoTime, after: StoreRevision) -> Vec<MemberRecord> {
         let newer = self.recent_heartbeats(now).filter(|(_, heartbeat)| heartbeat.as_of > after);
         newer.map(|(record, _)| record.clone()).collect()
     }
 
-    /// Returns the records of all members except this instance.
+    /// Returns the records of all members except this instance, in rank order.
     pub fn others(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values().map(|state| &state.record)
     }
 
     /// Returns the newest known incarnation of another instance; `None` if it is no member.
     pub fn incarnation(&self, name: &InstanceName) -> Option<IncarnationId> {
-        self.members.get(name).map(|state| state.record.incarnation)
+        self.member(name).map(|state| state.record.incarnation)
+    }
+}
+
+/// One pass over the members in rank order.
+struct SurveyWalk {
+    now: MonoTime,
+    /// Number of usable members of each data centre that have a duty.
+    per_centre: usize,
+    /// Usable members still to be found, by data centre.
+    missing: BTreeMap<DataCentre, usize>,
+    /// Members from which heartbeats are expected and that are not unresponsive, and this instance.
+    senders: usize,
+    expected: BTreeSet<RankKey>,
+    usable: Vec<RankKey>,
+    /// Usable members before this instance.
+    rank: Option<usize>,
+}
+
+impl SurveyWalk {
+    fn new(now: MonoTime, per_centre: usize, centres: &BTreeMap<DataCentre, usize>) -> Self {
+        let missing =
+            centres.keys().map(|centre| (centre.clone(), per_centre)).collect::<BTreeMap<_, _>>();
+        Self {
+            now,
+            per_centre,
+            missing,
+            senders: 0,
+            expected: BTreeSet::new(),
+            usable: Vec::new(),
+            rank: None,
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.missing.is_empty() && self.usable.len() >= RANKED_MIN.max(self.per_centre)
+    }
+
+    fn visit_this(&mut self, place: &RankKey, this: &MemberRecord, is_ready: bool) {
+        self.rank = Some(self.usable.len());
+        if is_ready {
+            self.senders += 1;
+            self.add_usable(place, &this.data_centre);
+        }
+    }
+
+    /// Heartbeats are expected from the first [`SENDERS_MIN`] responsive members and from the first
+    /// usable ones of each data centre.
+    fn visit(
+        &mut self,
+        place: &RankKey,
+        state: &mut MemberState,
+        heard: Option<&HeardState>,
+        direct_since: Option<MonoTime>,
+        timeout: Duration,
+    ) {
+        let centre = &state.record.data_centre;
+        let is_expected = self.senders < SENDERS_MIN || self.missing.contains_key(centre);
+        let mut is_unresponsive = false;
+        if is_expected {
+            self.expected.insert(place.clone());
+            let since = *state.expected_since.get_or_insert(self.now);
+            let heard_at = heard.map(|heard| heard.at);
+            let waiting_since = Some(since).max(heard_at).max(direct_since);
+            let is_overdue = waiting_since.is_some_and(|at| self.now.since(at) > timeout);
+            is_unresponsive = is_overdue || heard.is_some_and(|heard| heard.is_unresponsive);
+        } else {
+            state.expected_since = None;
+        }
+        self.senders += usize::from(!is_unresponsive);
+        let is_recent = heard.is_some_and(|heard| heard.is_recent(self.now));
+        let reports_ready = heard.is_none_or(|heard| heard.message.is_ready);
+        if !is_unresponsive && (reports_ready || (!is_recent && !is_expected)) {
+            self.add_usable(place, centre);
+        }
+    }
+
+    fn add_usable(&mut self, place: &RankKey, centre: &DataCentre) {
+        self.usable.push(place.clone());
+        if let Some(missing) = self.missing.get_mut(centre) {
+            *missing -= 1;
+            if *missing == 0 {
+                self.missing.remove(centre);
+            }
+        }
     }
 }
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -3,7 +3,7 @@
 use model::StoreRevision;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 /// Number of changes kept for other instances. An instance that is further behind needs a snapshot.
@@ -89,12 +89,12 @@
         if as_of < self.as_of {
             return Vec::new();
         }
-        let is_missing =
-            |key: &SmolStr| !items.iter().any(|item| item.key == *key && item.value.is_some());
+        let present: HashSet<&SmolStr> =
+            items.iter().filter(|item| item.value.is_some()).map(|item| &item.key).collect();
         let removed: Vec<StoreChange> = self
             .items
             .iter()
-            .filter(|(key, item)| item.revision <= as_of && is_missing(key))
+            .filter(|(key, item)| item.revision <= as_of && !present.contains(key))
             .map(|(key, _)| StoreChange { key: key.clone(), value: None, revision: as_of })
             .collect();
         let mut applied = Vec::new();
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -14,6 +14,11 @@
 /// Longest total delay of an instance; without this bound the last instances of a large fleet would
 /// wait too long.
 const TAKEOVER_DELAY_MAX: Duration = Duration::from_millis(2_500);
+/// Number of instances, in rank order, that call a store which the watchers report as failing. It
+/// may serve some of them, which then relay its changes; calls of a whole fleet would only load it.
+const LOST_CALLERS: usize = 12;
+/// Age of the newest confirmation beyond which further instances join those, one after another.
+const LOST_CALLERS_AGE_MAX: Duration = Duration::from_secs(3);
 
 /// How an instance receives changes of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,7 +48,11 @@
         return WatchDuty::Watch;
     }
     let position = u32::try_from(inputs.rank - inputs.watchers).unwrap_or(u32::MAX);
-    let delay = TAKEOVER_INTERVAL.saturating_mul(position).min(TAKEOVER_DELAY_MAX);
-    let age_max = if inputs.all_lost { STORE_LOST_AGE_MAX } else { CONFIRMATION_AGE_MAX };
-    if inputs.confirmed_age > age_max + delay { WatchDuty::Watch } else { WatchDuty::Follow }
+    let delay = TAKEOVER_INTERVAL.saturating_mul(position);
+    let age_limit = match (inputs.all_lost, inputs.rank < LOST_CALLERS) {
+        (false, _) => CONFIRMATION_AGE_MAX + delay.min(TAKEOVER_DELAY_MAX),
+        (true, true) => STORE_LOST_AGE_MAX + delay,
+        (true, false) => LOST_CALLERS_AGE_MAX + delay,
+    };
+    if inputs.confirmed_age > age_limit { WatchDuty::Watch } else { WatchDuty::Follow }
 }
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -3,10 +3,11 @@
 mod support;
 
 use fleet::{
-    HeartbeatMessage, HomePolicy, MemberRecord, MemberTable, MemberView, WatchDuty, WatchInputs,
-    choose_health_checkers, choose_homes, rank_members, watch_duty,
+    HeardHeartbeat, HeartbeatMessage, HomePolicy, MemberRecord, MemberTable, WatchDuty,
+    WatchInputs, watch_duty,
 };
 use model::{ConfigVersion, IncarnationId, Millis, MonoTime, StoreRevision};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use testkit::cases;
 
@@ -35,9 +36,9 @@
 
 /// Table of twelve members at member 0.
 fn table() -> MemberTable {
-    let mut table = MemberTable::new(record(0), 5);
+    let mut table = MemberTable::new(record(0));
     table.set_ready(true);
-    table.set_registered((0..12).map(record).collect());
+    (0..12).for_each(|index| table.register(record(index)));
     table
 }
 
@@ -49,20 +50,20 @@
 }
 
 fn homes(table: &mut MemberTable, now: MonoTime) -> Vec<String> {
-    let views = table.views(now);
-    let ranked: Vec<&MemberView> = views.iter().collect();
-    choose_homes(&ranked, 2).iter().map(|home| home.record.name.to_string()).collect()
+    homes_of(table, now, 2)
+}
+
+fn homes_of(table: &mut MemberTable, now: MonoTime, count: usize) -> Vec<String> {
+    table.survey(now, count).homes.iter().map(|home| home.name.to_string()).collect()
 }
 
 #[test]
 fn homes_are_in_different_data_centres() {
     let mut table = table();
-    let views = table.views(at(0));
-    let ranked: Vec<&MemberView> = views.iter().collect();
     for count in 1..=3 {
-        let homes = choose_homes(&ranked, count);
+        let homes = table.survey(at(0), count).homes;
         let mut centres: Vec<String> =
-            homes.iter().map(|home| home.record.data_centre.to_string()).collect();
+            homes.iter().map(|home| home.data_centre.to_string()).collect();
         centres.dedup();
         assert_eq!(centres.len(), count);
     }
@@ -106,7 +107,7 @@
     table.record_heartbeat(at(0), heartbeat(newer, true));
     table.record_heartbeat(at(5), heartbeat(record(3), false));
     assert_eq!(table.incarnation(&record(3).name), Some(IncarnationId(2)));
-    assert!(table.views(at(6)).iter().any(|v| v.record.name == record(3).name && v.is_usable));
+    assert!(homes_of(&mut table, at(6), 12).contains(&"m3".to_owned()));
 }
 
 #[test]
@@ -114,9 +115,9 @@
     let mut table = table();
     let unknown = MemberRecord { name: "m99".parse().expect("name"), ..record(3) };
     table.record_heartbeat(at(0), HeartbeatMessage { record: None, ..heartbeat(unknown, true) });
-    assert!(!table.views(at(1)).iter().any(|view| view.record.name.as_str() == "m99"));
+    assert_eq!(table.member_count(), 12);
     table.record_heartbeat(at(2), HeartbeatMessage { record: None, ..heartbeat(record(3), false) });
-    assert!(table.views(at(3)).iter().any(|v| v.record.name == record(3).name && !v.is_usable));
+    assert!(!homes_of(&mut table, at(3), 12).contains(&"m3".to_owned()));
 }
 
 /// After a restart of the whole fleet the store still has the records of the earlier incarnations.
@@ -161,21 +162,98 @@
 #[test]
 fn every_data_centre_has_one_health_checker() {
     let mut table = table();
-    let views = table.views(at(0));
-    let ranked: Vec<&MemberView> = views.iter().collect();
-    let health_checkers = choose_health_checkers(&ranked);
-    assert_eq!(health_checkers.len(), DATA_CENTRES.len());
+    let health_checkers = table.survey(at(0), 2).health_checkers;
+    let centres: BTreeSet<String> =
+        health_checkers.iter().map(|member| member.data_centre.to_string()).collect();
+    assert_eq!((health_checkers.len(), centres.len()), (DATA_CENTRES.len(), DATA_CENTRES.len()));
 }
 
 #[test]
 fn the_ranking_does_not_depend_on_the_order_of_members() {
-    let views: Vec<MemberView> =
-        (0..12).map(|index| MemberView { record: record(index), is_usable: true }).collect();
-    let reversed: Vec<MemberView> = views.iter().rev().cloned().collect();
-    let names = |ranked: Vec<&MemberView>| -> Vec<String> {
-        ranked.iter().map(|view| view.record.name.to_string()).collect()
+    let mut reversed = MemberTable::new(record(0));
+    reversed.set_ready(true);
+    (0..12).rev().for_each(|index| reversed.register(record(index)));
+    let expected = homes_of(&mut table(), at(0), 12);
+    assert_eq!(expected.len(), 12);
+    assert_eq!(homes_of(&mut reversed, at(0), 12), expected);
+}
+
+/// Table at ordinary member 50 of sixty members, twenty in each data centre. Capacities make members
+/// 0 to 5 the first two of each data centre.
+fn large_table() -> MemberTable {
+    let record = |index| {
+        let capacity = if index < 6 { 1_000_000 } else { 1 };
+        MemberRecord { capacity, ..record(index) }
     };
-    assert_eq!(names(rank_members(&views)), names(rank_members(&reversed)));
+    let mut table = MemberTable::new(record(50));
+    table.set_ready(true);
+    (0..60).for_each(|index| table.register(record(index)));
+    table
+}
+
+/// Passes on heartbeats of members 0 to 5 to `table`; of those in `unresponsive` an old one.
+fn relay_heartbeats(table: &mut MemberTable, now: MonoTime, unresponsive: &[usize]) {
+    for index in 0..6 {
+        let is_unresponsive = unresponsive.contains(&index);
+        let age = Millis(if is_unresponsive { 1_000 } else { 250 });
+        let heartbeat = HeartbeatMessage { record: None, ..heartbeat(record(index), true) };
+        table.record_heard(now, HeardHeartbeat { heartbeat, age, is_unresponsive });
+    }
+}
+
+/// In a fleet of 472, 18 homes but only five members by rank sent heartbeats; the others stayed
+/// homes after their loss.
+#[test]
+fn every_home_and_relay_of_a_large_fleet_sends_heartbeats() {
+    let mut table = large_table();
+    let survey = table.survey(at(0), 9);
+    assert_eq!(survey.homes.len(), 9);
+    assert!(survey.homes.iter().all(|home| survey.is_relay(home)));
+    assert_eq!(survey.centre_relays.len(), 2 * DATA_CENTRES.len());
+    assert!(!survey.is_sender(&record(50)));
+}
+
+#[test]
+fn relayed_heartbeats_report_an_unresponsive_home_at_once() {
+    let mut table = large_table();
+    let mut before = homes_of(&mut table, at(0), 6);
+    before.sort();
+    assert_eq!(before, ["m0", "m1", "m2", "m3", "m4", "m5"]);
+    relay_heartbeats(&mut table, at(300), &[]);
+    assert_eq!(homes_of(&mut table, at(301), 6).len(), 6);
+    relay_heartbeats(&mut table, at(1_300), &[4]);
+    let after = homes_of(&mut table, at(1_301), 6);
+    assert!(!after.contains(&"m4".to_owned()), "{after:?}");
+    relay_heartbeats(&mut table, at(1_600), &[]);
+    assert!(homes_of(&mut table, at(1_601), 6).contains(&"m4".to_owned()));
+}
+
+/// Both relays of the own data centre stop; that says nothing about the homes elsewhere.
+#[test]
+fn homes_elsewhere_outlast_the_loss_of_the_own_relays() {
+    let mut table = large_table();
+    relay_heartbeats(&mut table, at(0), &[]);
+    homes_of(&mut table, at(1), 6);
+    let after = homes_of(&mut table, at(2_500), 6);
+    let own = |name: &&String| name[1..].parse::<usize>().expect("number") % 3 == 50 % 3;
+    let (own, elsewhere): (Vec<&String>, Vec<&String>) = after.iter().partition(own);
+    assert!(own.iter().all(|name| **name != "m2" && **name != "m5"), "{own:?}");
+    assert!(elsewhere.iter().all(|name| ["m0", "m1", "m3", "m4"].contains(&name.as_str())));
+}
+
+/// An instance that becomes a relay receives heartbeats only from then on.
+#[test]
+fn a_new_relay_waits_for_heartbeats_before_it_counts_others_as_unresponsive() {
+    let mut table = large_table();
+    relay_heartbeats(&mut table, at(0), &[]);
+    homes_of(&mut table, at(1), 6);
+    // The own relays are lost; member 50 or another one of its data centre follows them.
+    let mut duty = table.survey(at(2_000), 60);
+    assert!(duty.is_relay(&record(50)));
+    duty = table.survey(at(2_800), 60);
+    assert!(duty.homes.iter().any(|home| home.name == record(0).name));
+    duty = table.survey(at(3_000), 60);
+    assert!(!duty.homes.iter().any(|home| home.name == record(0).name));
 }
 
 fn check_home_count(servers: usize, data_centres: usize, expected: usize) {
@@ -205,4 +283,7 @@
     fourth_follows_for_longer: (3, 1_400, false, WatchDuty::Follow);
     third_watches_early_if_store_is_lost: (2, 200, true, WatchDuty::Watch);
     last_of_large_fleet_watches: (500, 4_000, false, WatchDuty::Watch);
+    twelfth_calls_a_failing_store: (11, 1_600, true, WatchDuty::Watch);
+    last_of_large_fleet_leaves_a_failing_store_alone: (450, 9_000, true, WatchDuty::Follow);
+    others_join_if_all_callers_are_turned_away: (20, 6_000, true, WatchDuty::Watch);
 } }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -3,22 +3,19 @@
 
 use crate::settings_file::GatewaySettings;
 use fleet::{
-    ChangeBatch, ChangeOrigin, HeartbeatMessage, HomePolicy, MemberRecord, MemberTable, MemberView,
-    PullReply, RelayView, StoreChange, StoreReplica, choose_health_checkers, choose_homes,
-    server_tag,
+    ChangeBatch, ChangeOrigin, FleetSurvey, HeardHeartbeat, HeartbeatMessage, HomePolicy,
+    MemberRecord, MemberTable, PullReply, RelayView, StoreChange, StoreReplica, server_tag,
 };
 use model::{
-    BackendSpec, ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey,
-    StoreRevision,
+    ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
 };
 use smol_str::SmolStr;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Number of members, by rank, that send heartbeats to all. If one fails, the next in rank replaces
-/// it.
-const HEARTBEAT_SENDERS: usize = 5;
+/// Age of a confirmation by the store up to which the store counts as available.
+const STORE_CONFIRMED_AGE_MAX: Duration = Duration::from_millis(1_300);
 
 /// The homes that receive load reports on servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,29 +26,42 @@
     Near,
 }
 
-/// Decoded records of the replica, by key.
+/// What the value of a store key named.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum NamedRecord {
+    Server(ServerKey),
+    Member(InstanceName),
+}
+
+/// The servers and members that the replica's values name, by store key.
 #[derive(Default)]
 pub(crate) struct DecodedRecords {
-    pub servers: BTreeMap<SmolStr, BackendSpec>,
-    pub members: BTreeMap<SmolStr, MemberRecord>,
+    named: HashMap<SmolStr, NamedRecord>,
+    /// The store's record of this instance.
+    pub this: Option<MemberRecord>,
     /// The servers by the tags that load reports use.
     pub tags: HashMap<u32, ServerKey>,
 }
 
 impl DecodedRecords {
-    /// Removes the record of a key.
-    pub fn remove(&mut self, key: &str) {
-        if let Some(server) = self.servers.remove(key) {
-            self.tags.remove(&server_tag(&server.key.name, server.key.incarnation));
+    /// Removes what a key named, and returns it.
+    pub fn remove(&mut self, key: &str) -> Option<NamedRecord> {
+        let removed = self.named.remove(key)?;
+        if let NamedRecord::Server(server) = &removed {
+            self.tags.remove(&server_tag(&server.name, server.incarnation));
         }
-        self.members.remove(key);
+        Some(removed)
+    }
+
+    /// Inserts the server that a key names.
+    pub fn insert_server(&mut self, key: SmolStr, server: ServerKey) {
+        self.tags.insert(server_tag(&server.name, server.incarnation), server.clone());
+        self.named.insert(key, NamedRecord::Server(server));
     }
 
-    /// Inserts the record of a server.
-    pub fn insert_server(&mut self, key: SmolStr, server: BackendSpec) {
-        let tag = server_tag(&server.key.name, server.key.incarnation);
-        self.tags.insert(tag, server.key.clone());
-        self.servers.insert(key, server);
+    /// Inserts the member that a key names.
+    pub fn insert_member(&mut self, key: SmolStr, name: InstanceName) {
+        self.named.insert(key, NamedRecord::Member(name));
     }
 }
 
@@ -75,9 +85,7 @@
     pub version: ConfigVersion,
     /// Servers whose records vanished while the store was failing, and since when.
     pub vanished: HashMap<ServerKey, MonoTime>,
-    views: Vec<MemberView>,
-    homes: Vec<MemberRecord>,
-    health_checkers: Vec<MemberRecord>,
+    survey: FleetSurvey,
     /// Since when another instance has been ahead of the replica.
     behind_since: Option<MonoTime>,
 }
@@ -96,7 +104,7 @@
         Self {
             replica: StoreReplica::default(),
             records: DecodedRecords::default(),
-            members: MemberTable::new(this, HEARTBEAT_SENDERS),
+            members: MemberTable::new(this),
             confirmed_at: None,
             snapshot_at: None,
             store_lost: false,
@@ -104,29 +112,17 @@
             store_failed_at: None,
             version: ConfigVersion(0),
             vanished: HashMap::new(),
-            views: Vec::new(),
-            homes: Vec::new(),
-            health_checkers: Vec::new(),
+            survey: FleetSurvey::default(),
             behind_since: None,
         }
     }
 
-    /// Recomputes the ranking, the homes and the health checkers. Returns whether the homes
-    /// changed.
+    /// Recomputes the homes and the other members with a duty. Returns whether the homes changed.
     pub fn refresh(&mut self, now: MonoTime, policy: HomePolicy, servers: usize) -> bool {
-        self.views = self.members.views(now);
-        let centres: HashSet<&DataCentre> =
-            self.views.iter().map(|view| &view.record.data_centre).collect();
-        let home_count = policy.home_count(servers, centres.len());
-        let ranked: Vec<&MemberView> = self.views.iter().collect();
-        let homes: Vec<MemberRecord> =
-            choose_homes(&ranked, home_count).into_iter().map(|view| view.record.clone()).collect();
-        self.health_checkers = choose_health_checkers(&ranked)
-            .into_iter()
-            .map(|health_checker| health_checker.record.clone())
-            .collect();
-        let changed = homes != self.homes;
-        self.homes = homes;
+        let home_count = policy.home_count(servers, self.members.centre_count());
+        let survey = self.members.survey(now, home_count);
+        let changed = survey.homes != self.survey.homes;
+        self.survey = survey;
         changed
     }
 
@@ -140,28 +136,23 @@
 
     /// The homes in the order of their ranking.
     pub fn homes(&self) -> &[MemberRecord] {
-        &self.homes
+        &self.survey.homes
     }
 
     /// Rank of this instance among the homes, from 0; `None` if it is not a home.
     pub fn home_rank(&self) -> Option<usize> {
         let name = &self.members.this().name;
-        self.homes.iter().position(|home| home.name == *name)
+        self.homes().iter().position(|home| home.name == *name)
     }
 
-    /// Rank of this instance among the usable members, from 0. An instance that is not usable ranks
-    /// behind them.
+    /// Rank of this instance among the usable members, from 0.
     pub fn rank(&self) -> usize {
-        let name = &self.members.this().name;
-        let mut usable = self.views.iter().filter(|view| view.is_usable);
-        usable
-            .position(|view| view.record.name == *name)
-            .unwrap_or_else(|| self.usable_count().min(HEARTBEAT_SENDERS))
+        self.survey.rank
     }
 
-    /// Whether this instance sends heartbeats to all.
+    /// Whether this instance sends heartbeats periodically.
     pub fn is_sender(&self) -> bool {
-        self.rank() < HEARTBEAT_SENDERS || self.is_watching || self.is_health_checker()
+        self.is_watching || self.survey.is_sender(self.members.this())
     }
 
     /// Whether this instance checks the servers of its data centre for all homes.
@@ -172,14 +163,14 @@
     fn relay_view(&self) -> RelayView<'_> {
         RelayView {
             this: self.members.this(),
-            homes: &self.homes,
-            health_checkers: &self.health_checkers,
+            homes: &self.survey.homes,
+            health_checkers: &self.survey.health_checkers,
         }
     }
 
     /// Whether a data centre has a home.
     pub fn has_home_in(&self, centre: &DataCentre) -> bool {
-        self.homes.iter().any(|home| home.data_centre == *centre)
+        self.homes().iter().any(|home| home.data_centre == *centre)
     }
 
     /// Datagram addresses of the homes that receive load reports on servers of this data centre.
@@ -191,17 +182,36 @@
                     || home.data_centre == this.data_centre
                     || !self.has_home_in(&this.data_centre))
         };
-        self.homes.iter().filter(is_target).map(|home| home.datagram_address).collect()
+        self.homes().iter().filter(is_target).map(|home| home.datagram_address).collect()
+    }
+
+    /// Datagram addresses of the instances to which this one sends its heartbeats: all others, or in a
+    /// large fleet those that have a duty and pass them on.
+    pub fn heartbeat_targets(&self) -> Vec<SocketAddr> {
+        if self.survey.centre_relays.is_empty() {
+            return self.members.others().map(|record| record.datagram_address).collect();
+        }
+        let this = &self.members.this().name;
+        let others = self.survey.relays.iter().filter(|relay| relay.name != *this);
+        others.map(|relay| relay.datagram_address).collect()
     }
 
-    /// Number of members that callers may connect to.
-    pub fn usable_count(&self) -> usize {
-        self.views.iter().filter(|view| view.is_usable).count()
+    /// Datagram addresses of the instances to which this one passes on heartbeats.
+    pub fn relayed_heartbeat_targets(&self) -> Vec<SocketAddr> {
+        let this = self.members.this();
+        if !self.survey.is_centre_relay(this) {
+            return Vec::new();
+        }
+        let is_target = |member: &&MemberRecord| {
+            member.data_centre == this.data_centre && !self.survey.is_relay(member)
+        };
+        self.members.others().filter(is_target).map(|member| member.datagram_address).collect()
     }
 
-    /// Datagram addresses of all other instances.
-    pub fn datagram_targets(&self) -> Vec<SocketAddr> {
-        self.members.others().map(|record| record.datagram_address).collect()
+    /// Heartbeats to pass on: this instance's own and those it received lately.
+    pub fn relayed_heartbeats(&self, now: MonoTime) -> Vec<HeardHeartbeat> {
+        let own = HeardHeartbeat::now(self.heartbeat(now, false));
+        std::iter::once(own).chain(self.members.relayed_heartbeats(now)).collect()
     }
 
     /// Datagram addresses of the instances to which this one relays a change of the store.
@@ -234,8 +244,14 @@
         if as_of != self.replica.as_of() {
             return;
         }
-        let at = MonoTime(now.0.saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)));
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.confirmed_at = self.confirmed_at.max(Some(now.before(age)));
+    }
+
+    /// Whether the store has confirmed the replica to other instances since this instance's own call
+    /// failed.
+    pub fn is_confirmed_by_others(&self, now: MonoTime) -> bool {
+        let is_newer = self.confirmed_at > self.store_failed_at;
+        self.store_lost && is_newer && self.confirmed_age(now) < STORE_CONFIRMED_AGE_MAX
     }
 
     /// Builds a heartbeat of this instance.
@@ -257,7 +273,7 @@
     /// is none.
     pub fn all_lost(&self, now: MonoTime, watchers: usize) -> bool {
         let names: Vec<&InstanceName> =
-            self.homes.iter().take(watchers).map(|home| &home.name).collect();
+            self.homes().iter().take(watchers).map(|home| &home.name).collect();
         let mut recent = self
             .members
             .recent_heartbeats(now)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,7 +29,7 @@
     pub version: IntGauge,
     /// Time since the store last confirmed the replica, in milliseconds.
     pub confirmed_age_ms: IntGauge,
-    /// Usable members.
+    /// Known members, this instance included.
     pub members: IntGauge,
     /// Backend servers with a record in the store, and those kept after their record vanished.
     pub servers: IntGauge,
@@ -108,7 +108,7 @@
                 "lacewing_confirmed_age_milliseconds",
                 "Age of the newest confirmation by the store",
             ),
-            members: gauge(&registry, "lacewing_members", "Usable instances"),
+            members: gauge(&registry, "lacewing_members", "Known instances"),
             servers: gauge(&registry, "lacewing_servers", "Known backend servers"),
             waiting: gauge(&registry, "lacewing_waiting", "Requests that wait for a slot"),
             connections: gauge(&registry, "lacewing_connections", "Connections of callers"),
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -11,7 +11,8 @@
 use anyhow::{Context, anyhow};
 use bytes::Bytes;
 use fleet::{
-    ChangeBatch, ChangeOrigin, DATAGRAM_MAX_BYTES, LoadRow, MemberRecord, PeerDatagram, PullReply,
+    ChangeBatch, ChangeOrigin, DATAGRAM_MAX_BYTES, HeardHeartbeat, LoadRow, MemberRecord,
+    PeerDatagram, PullReply,
 };
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -39,6 +40,8 @@
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest body of a request for registration, in bytes.
 const REGISTRATION_MAX_BYTES: usize = 4 * 1024;
+/// Heartbeats in one datagram that passes them on; each takes up to 60 bytes.
+const RELAYED_HEARTBEATS_MAX: usize = 22;
 /// Rows in one datagram of load reports.
 const LOAD_ROWS_MAX: usize = 120;
 
@@ -49,10 +52,6 @@
     Ok(UdpSocket::from_std(socket)?)
 }
 
-fn send_to_all(state: &GatewayState, datagram: &PeerDatagram) {
-    send_to(state, datagram, &state.fleet_ref().datagram_targets());
-}
-
 /// Sends load reports of this health checker to the homes.
 pub(crate) fn send_load_reports(state: &GatewayState, rows: &[LoadRow], reach: LoadReach) {
     let targets = state.fleet_ref().load_report_targets(reach);
@@ -90,9 +89,19 @@
     send_to(state, &PeerDatagram::Changes(batch), &targets);
 }
 
+/// Sends a heartbeat, and the heartbeats that this instance passes on to its data centre.
 fn send_heartbeat(state: &GatewayState, with_record: bool) {
-    let heartbeat = state.fleet_ref().heartbeat(state.now(), with_record);
-    send_to_all(state, &PeerDatagram::Heartbeat(heartbeat));
+    let now = state.now();
+    let fleet = state.fleet_ref();
+    let heartbeat = fleet.heartbeat(now, with_record);
+    send_to(state, &PeerDatagram::Heartbeat(heartbeat), &fleet.heartbeat_targets());
+    let targets = fleet.relayed_heartbeat_targets();
+    if targets.is_empty() {
+        return;
+    }
+    for chunk in fleet.relayed_heartbeats(now).chunks(RELAYED_HEARTBEATS_MAX) {
+        send_to(state, &PeerDatagram::Relayed(chunk.to_vec()), &targets);
+    }
 }
 
 /// Announces by a heartbeat, to the instances that this one relays to, that it has changes to
@@ -137,20 +146,9 @@
 fn handle_datagram(state: &Rc<GatewayState>, bytes: &[u8], from: SocketAddr) {
     match postcard::from_bytes(bytes) {
         Ok(PeerDatagram::Heartbeat(heartbeat)) => {
-            let now = state.now();
-            let (as_of, age) = (heartbeat.as_of, heartbeat.confirmed_age.duration());
-            let mut fleet = state.fleet();
-            let is_new = fleet.members.record_heartbeat(now, heartbeat);
-            fleet.confirm(now, as_of, age);
-            let is_behind = as_of > fleet.replica.as_of();
-            drop(fleet);
-            if is_new {
-                refresh_fleet(state);
-            }
-            if is_behind {
-                state.sync_wakeup.notify_one();
-            }
+            apply_heartbeats(state, vec![HeardHeartbeat::now(heartbeat)]);
         }
+        Ok(PeerDatagram::Relayed(heartbeats)) => apply_heartbeats(state, heartbeats),
         Ok(PeerDatagram::LoadReports(rows)) => apply_load_reports(state, &rows),
         Ok(PeerDatagram::Changes(batch)) => {
             if apply_batch(state, batch) {
@@ -163,6 +161,27 @@
     }
 }
 
+fn apply_heartbeats(state: &Rc<GatewayState>, heartbeats: Vec<HeardHeartbeat>) {
+    let now = state.now();
+    let mut fleet = state.fleet();
+    let mut is_new = false;
+    let mut newest = fleet.replica.as_of();
+    for heard in heartbeats {
+        let (as_of, confirmed_age) = (heard.heartbeat.as_of, heard.heartbeat.confirmed_age);
+        fleet.confirm(now, as_of, confirmed_age.duration() + heard.age.duration());
+        newest = newest.max(as_of);
+        is_new |= fleet.members.record_heard(now, heard);
+    }
+    let is_behind = newest > fleet.replica.as_of();
+    drop(fleet);
+    if is_new {
+        refresh_fleet(state);
+    }
+    if is_behind {
+        state.sync_wakeup.notify_one();
+    }
+}
+
 /// Requests the changes after a revision from another instance.
 pub(crate) async fn pull_changes(
     state: &GatewayState,
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -1,13 +1,13 @@
 //! Applies records of the store: the configuration in force, the backend servers that may get
 //! requests, the members and the homes.
 
+use crate::fleet_state::NamedRecord;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
 use balance::BackendState;
 use fleet::{MemberRecord, StoreChange, StoreRecord};
-use model::{BackendSpec, MonoTime, ServerKey, StoreRevision};
+use model::{BackendSpec, InstanceName, ServerKey, StoreRevision};
 use smol_str::{SmolStr, format_smolstr};
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,38 +19,108 @@
 /// the start, which should be short; of those only leaving servers are logged.
 const LOGGED_CHANGES_MAX: usize = 40;
 
-/// Applies changed records to the configuration, the servers and the members.
+/// Applies changed records to the configuration, the servers and the members. Takes time in
+/// proportion to the number of changes.
 pub(crate) fn apply_records(state: &Rc<GatewayState>, applied: &[StoreChange]) {
+    if applied.is_empty() {
+        return;
+    }
     let logs_each = applied.len() <= LOGGED_CHANGES_MAX;
     if !logs_each {
         state.log.state("records", &format_smolstr!("{} changed at once", applied.len()));
     }
     for change in applied {
-        let record = change.value.as_ref().map(|value| state.decoder.decode(&change.key, value));
-        state.fleet().records.remove(&change.key);
-        match record {
-            None if logs_each => state.log.state("record_gone", &change.key),
-            None => {}
-            Some(StoreRecord::Config(table)) => apply_config(state, table),
-            Some(StoreRecord::Malformed(cause)) => {
-                let detail = format_smolstr!("{}: {cause}", change.key);
-                state.log.state("record_malformed", &detail);
-            }
-            Some(StoreRecord::Server(server)) => {
-                if logs_each || server.is_leaving {
-                    log_server(state, &server, change.revision);
-                }
-                state.fleet().records.insert_server(change.key.clone(), server);
-            }
-            Some(StoreRecord::Member(member)) => {
-                state.fleet().records.members.insert(change.key.clone(), member);
+        apply_change(state, change, logs_each);
+    }
+    let servers = state.queue().estimates.servers().len();
+    state.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
+    refresh_fleet(state);
+    advance_queue(state);
+}
+
+fn apply_change(state: &Rc<GatewayState>, change: &StoreChange, logs_each: bool) {
+    let record = change.value.as_ref().map(|value| state.decoder.decode(&change.key, value));
+    let earlier = state.fleet().records.remove(&change.key);
+    let mut named = None;
+    match record {
+        None if logs_each => state.log.state("record_gone", &change.key),
+        None | Some(StoreRecord::Unrecognized) => {}
+        Some(StoreRecord::Config(table)) => apply_config(state, table),
+        Some(StoreRecord::Malformed(cause)) => {
+            let detail = format_smolstr!("{}: {cause}", change.key);
+            state.log.state("record_malformed", &detail);
+        }
+        Some(StoreRecord::Server(server)) => {
+            if logs_each || server.is_leaving {
+                log_server(state, &server, change.revision);
             }
-            Some(StoreRecord::Unrecognized) => {}
+            named = Some(NamedRecord::Server(server.key.clone()));
+            apply_server(state, change.key.clone(), server);
         }
+        Some(StoreRecord::Member(member)) => {
+            named = Some(NamedRecord::Member(member.name.clone()));
+            apply_member(state, change.key.clone(), member);
+        }
+    }
+    match earlier {
+        Some(earlier) if Some(&earlier) == named.as_ref() => {}
+        Some(NamedRecord::Server(key)) => withdraw_server(state, key, named.is_some()),
+        Some(NamedRecord::Member(name)) => withdraw_member(state, &name),
+        None => {}
+    }
+}
+
+fn apply_server(state: &GatewayState, key: SmolStr, server: BackendSpec) {
+    let mut fleet = state.fleet();
+    fleet.vanished.remove(&server.key);
+    fleet.records.insert_server(key, server.key.clone());
+    drop(fleet);
+    state.queue().estimates.upsert_server(state.now(), server);
+}
+
+fn apply_member(state: &GatewayState, key: SmolStr, member: MemberRecord) {
+    let mut fleet = state.fleet();
+    fleet.records.insert_member(key, member.name.clone());
+    if member.name == fleet.members.this().name {
+        fleet.records.this = Some(member.clone());
     }
-    if !applied.is_empty() {
-        refresh_from_records(state);
+    fleet.members.register(member);
+}
+
+fn withdraw_member(state: &GatewayState, name: &InstanceName) {
+    let mut fleet = state.fleet();
+    if *name == fleet.members.this().name {
+        fleet.records.this = None;
     }
+    fleet.members.unregister(name);
+}
+
+/// Stops using a server whose record is gone. If it vanished while the store was failing, the server
+/// stays in use for [`VANISHED_TTL`]: live servers announce themselves again within that time, which
+/// counts from when the record vanished, however long the store keeps failing.
+fn withdraw_server(state: &Rc<GatewayState>, key: ServerKey, is_replaced: bool) {
+    let now = state.now();
+    let is_eligible = state.queue().estimates.server(&key).is_some_and(BackendState::is_eligible);
+    let mut fleet = state.fleet();
+    // While the store works, a record vanishes only when its server is gone.
+    let failed_recently = fleet.store_failed_at.is_some_and(|at| now.since(at) < VANISHED_TTL);
+    if !is_eligible || !failed_recently || is_replaced {
+        drop(fleet);
+        state.queue().estimates.remove_server(&key);
+        return;
+    }
+    fleet.vanished.insert(key.clone(), now);
+    drop(fleet);
+    let state = Rc::clone(state);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(VANISHED_TTL).await;
+        let since = state.fleet_ref().vanished.get(&key).copied();
+        if since == Some(now) {
+            state.fleet().vanished.remove(&key);
+            state.queue().estimates.remove_server(&key);
+            advance_queue(&state);
+        }
+    });
 }
 
 fn log_server(state: &GatewayState, server: &BackendSpec, revision: StoreRevision) {
@@ -84,64 +154,6 @@
     }
 }
 
-/// Updates the load estimates, the members and the homes from the decoded records.
-fn refresh_from_records(state: &Rc<GatewayState>) {
-    let now = state.now();
-    let (mut specs, members): (Vec<BackendSpec>, Vec<MemberRecord>) = {
-        let fleet = state.fleet_ref();
-        let records = &fleet.records;
-        (records.servers.values().cloned().collect(), records.members.values().cloned().collect())
-    };
-    retain_vanished(state, now, &mut specs);
-    state.metrics.servers.set(i64::try_from(specs.len()).unwrap_or(i64::MAX));
-    state.queue().estimates.set_servers(now, specs);
-    state.fleet().members.set_registered(members);
-    refresh_fleet(state);
-    advance_queue(state);
-}
-
-/// Keeps a server whose record vanished while the store was failing. Live servers announce
-/// themselves again within [`VANISHED_TTL`], which counts from when the record vanished, however
-/// long the store keeps failing.
-fn retain_vanished(state: &Rc<GatewayState>, now: MonoTime, specs: &mut Vec<BackendSpec>) {
-    let vanished: Vec<BackendSpec> = {
-        let queue = state.queue();
-        let recorded: HashSet<&ServerKey> = specs.iter().map(|spec| &spec.key).collect();
-        let is_recorded = |known: &BackendState| recorded.contains(&known.spec.key);
-        let servers = queue.estimates.servers();
-        servers
-            .filter(|known| known.is_eligible() && !is_recorded(known))
-            .map(|known| known.spec.clone())
-            .collect()
-    };
-    let mut fleet = state.fleet();
-    let failed_recently = fleet.store_failed_at.is_some_and(|at| now.since(at) < VANISHED_TTL);
-    let known = std::mem::take(&mut fleet.vanished);
-    let mut kept = Vec::new();
-    for spec in vanished {
-        let since = known.get(&spec.key).copied();
-        // While the store works, a record vanishes only when its server is gone.
-        if since.is_none() && !failed_recently {
-            continue;
-        }
-        let since = since.unwrap_or(now);
-        if now.since(since) < VANISHED_TTL {
-            fleet.vanished.insert(spec.key.clone(), since);
-            kept.push(spec);
-        }
-    }
-    drop(fleet);
-    if kept.is_empty() {
-        return;
-    }
-    specs.extend(kept);
-    let state = Rc::clone(state);
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(VANISHED_TTL).await;
-        refresh_from_records(&state);
-    });
-}
-
 /// Share of the fleet's extra retries for all instances together that are not homes.
 const OTHERS_SHARE: f64 = 0.1;
 
@@ -161,17 +173,21 @@
         fleet.homes().iter().map(|home| SmolStr::new(home.name.as_str())).collect();
     let share = match fleet.home_rank() {
         Some(_) => (1.0 - OTHERS_SHARE) / homes.len().max(2) as f64,
-        None => OTHERS_SHARE / fleet.usable_count().max(1) as f64,
+        None => OTHERS_SHARE / fleet.members.member_count() as f64,
     };
     let others = homes.len() - usize::from(fleet.home_rank().is_some());
     let competing_instances = u32::try_from(others).unwrap_or(u32::MAX);
-    let detail = format_smolstr!("{homes:?} of {} usable", fleet.usable_count());
-    state.metrics.members.set(i64::try_from(fleet.usable_count()).unwrap_or(i64::MAX));
+    let members = fleet.members.member_count();
+    let detail = format_smolstr!("{homes:?} of {members} members");
+    state.metrics.members.set(i64::try_from(members).unwrap_or(i64::MAX));
+    let announces = fleet.is_sender();
     drop(fleet);
     let mut queue = state.queue();
     queue.set_extra_share(share);
     queue.set_competing_instances(competing_instances);
     drop(queue);
     state.log.state("homes", &detail);
-    state.heartbeat_wakeup.notify_one();
+    if announces {
+        state.heartbeat_wakeup.notify_one();
+    }
 }
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -29,8 +29,9 @@
 const ROUNDS_BEFORE_SELF: u32 = 2;
 /// Bound on waiting until a written record reaches the replica.
 const RECORD_ARRIVAL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Interval between checks for the written record.
-const RECORD_ARRIVAL_INTERVAL: Duration = Duration::from_millis(60);
+/// Delay before the second check for the written record; doubled with each further check, since many
+/// instances that start together wait for the same registrar.
+const RECORD_ARRIVAL_DELAY_FIRST: Duration = Duration::from_millis(60);
 
 /// Keeps this instance registered until the process stops.
 pub(crate) async fn run_registration(state: Rc<GatewayState>) {
@@ -62,10 +63,9 @@
 /// Whether the replica has a record of this instance with its present addresses. The record's
 /// incarnation may be older: heartbeats carry the present one.
 pub(crate) fn is_registered(state: &GatewayState) -> bool {
-    let key = state.binding.member_key(state.settings().name.as_str());
     let fleet = state.fleet_ref();
     let this = fleet.members.this();
-    fleet.records.members.get(key.as_str()).is_some_and(|record| {
+    fleet.records.this.as_ref().is_some_and(|record| {
         let record = MemberRecord { incarnation: this.incarnation, ..record.clone() };
         record == *this
     })
@@ -160,6 +160,7 @@
 /// whether it did.
 async fn wait_for_record(state: &Rc<GatewayState>, registrar: Option<SocketAddr>) -> bool {
     let until = state.now().plus(RECORD_ARRIVAL_TIMEOUT);
+    let mut delay = RECORD_ARRIVAL_DELAY_FIRST;
     while !is_registered(state) && state.now() < until {
         if let Some(registrar) = registrar
             && let Err(cause) = pull_from(state, registrar).await
@@ -167,7 +168,8 @@
             state.log.state("pull_failed", &format_smolstr!("{registrar}: {cause:#}"));
         }
         if !is_registered(state) {
-            tokio::time::sleep(RECORD_ARRIVAL_INTERVAL).await;
+            tokio::time::sleep(delay).await;
+            delay *= 2;
         }
     }
     is_registered(state)
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -50,6 +50,9 @@
     loop {
         if current_duty(&state) == WatchDuty::Follow {
             state.fleet().is_watching = false;
+            if state.fleet_ref().is_confirmed_by_others(state.now()) {
+                record_store_state(&state, true);
+            }
             let _ = tokio::time::timeout(DUTY_CHECK_INTERVAL, state.sync_wakeup.notified()).await;
             catch_up(&state).await;
             continue;
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -17,6 +17,11 @@
         Self(self.0.saturating_add(whole_micros(duration)))
     }
 
+    /// Returns the time `duration` before this one, or the start of the process if that is later.
+    pub fn before(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(whole_micros(duration)))
+    }
+
     /// Returns the duration since `earlier`, or zero if `earlier` is later than this time.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
