Share servers of other data centres among a few homes each

Cause: with 18 homes each counted 16 claims of others at each server elsewhere, so no home ever used a server of another data centre: the crest of one data centre waited while slots elsewhere were free, and a service without servers in a data centre could not be used from there. Reports on all servers went to all homes.

--- a/crates/balance/src/estimates.rs
+++ b/crates/balance/src/estimates.rs
@@ -1,7 +1,8 @@
 //! Load estimates: the state of each backend server as this instance computes it from load reports
 //! and from its own exchanges.
 
-use model::{BackendSpec, MonoTime, ServerKey, ServiceName};
+use crate::reach::{ReachPlan, ServerReach};
+use model::{BackendSpec, DataCentre, InstanceName, MonoTime, ServerKey, ServiceName};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -68,6 +69,8 @@
 pub struct BackendState {
     /// The server's record in the store.
     pub spec: BackendSpec,
+    /// How this instance may use the server.
+    pub reach: ServerReach,
     /// Start of each exchange in progress, by exchange id.
     in_flight_since: HashMap<u64, MonoTime>,
     /// Requests of other instances at the server by the latest report.
@@ -89,8 +92,9 @@
 }
 
 impl BackendState {
-    fn new(now: MonoTime, spec: BackendSpec) -> Self {
+    fn new(now: MonoTime, spec: BackendSpec, reach: ServerReach) -> Self {
         Self {
+            reach,
             warm_up_until: now.plus(spec.warm_up_left.duration()),
             spec,
             in_flight_since: HashMap::new(),
@@ -222,8 +226,12 @@
 #[derive(Debug, Clone)]
 pub struct LoadEstimates {
     servers: HashMap<ServerKey, BackendState>,
+    /// Servers within reach, by service, ordered by name.
     by_service: HashMap<ServiceName, Vec<ServerKey>>,
     mean_slowdown: f64,
+    /// This instance and its data centre; `None` if it uses all servers alike.
+    this: Option<(InstanceName, DataCentre)>,
+    plan: ReachPlan,
 }
 
 impl Default for LoadEstimates {
@@ -232,18 +240,56 @@
             servers: HashMap::new(),
             by_service: HashMap::new(),
             mean_slowdown: INITIAL_SLOWDOWN,
+            this: None,
+            plan: ReachPlan::default(),
         }
     }
 }
 
 impl LoadEstimates {
+    /// Sets the plan by which this instance and the homes share the servers.
+    pub fn set_plan(&mut self, this: InstanceName, own_centre: DataCentre, plan: ReachPlan) {
+        let was_home = self.plan.includes(&this);
+        let is_home = plan.includes(&this);
+        self.this = Some((this, own_centre));
+        self.plan = plan;
+        if !was_home && !is_home {
+            return;
+        }
+        self.by_service.clear();
+        let specs: Vec<BackendSpec> =
+            self.servers.values().map(|state| state.spec.clone()).collect();
+        for spec in specs {
+            let reach = self.reach_of(&spec);
+            if let Some(state) = self.servers.get_mut(&spec.key) {
+                state.reach = reach;
+            }
+            self.index_server(&spec, reach);
+        }
+    }
+
+    /// Returns the plan by which the homes share the servers.
+    pub fn plan(&self) -> &ReachPlan {
+        &self.plan
+    }
+
+    fn reach_of(&self, spec: &BackendSpec) -> ServerReach {
+        match &self.this {
+            None => ServerReach::Own,
+            Some((this, own_centre)) => {
+                self.plan.reach_of(this, own_centre, &spec.key.name, &spec.data_centre)
+            }
+        }
+    }
+
     /// Adds a server, or updates the specification of a known one, which keeps its state. One that is
     /// leaving stays so until its next incarnation.
     pub fn upsert_server(&mut self, now: MonoTime, spec: BackendSpec) {
         let key = spec.key.clone();
+        let reach = self.reach_of(&spec);
         let Some(state) = self.servers.get_mut(&key) else {
-            self.index_server(&spec);
-            self.servers.insert(key, BackendState::new(now, spec));
+            self.index_server(&spec, reach);
+            self.servers.insert(key, BackendState::new(now, spec, reach));
             return;
         };
         let is_leaving = state.spec.is_leaving || spec.is_leaving;
@@ -253,11 +299,13 @@
         if spec.address != state.spec.address {
             state.is_misdirected = false;
         }
-        let earlier = std::mem::replace(&mut state.spec, BackendSpec { is_leaving, ..spec });
-        if earlier.service != self.servers[&key].spec.service {
+        let is_moved = (&spec.service, reach) != (&state.spec.service, state.reach);
+        let spec = BackendSpec { is_leaving, ..spec };
+        let earlier = std::mem::replace(&mut state.spec, spec.clone());
+        state.reach = reach;
+        if is_moved {
             self.unindex_server(&earlier);
-            let spec = self.servers[&key].spec.clone();
-            self.index_server(&spec);
+            self.index_server(&spec, reach);
         }
     }
 
@@ -268,7 +316,10 @@
         }
     }
 
-    fn index_server(&mut self, spec: &BackendSpec) {
+    fn index_server(&mut self, spec: &BackendSpec, reach: ServerReach) {
+        if reach == ServerReach::Beyond {
+            return;
+        }
         let keys = self.by_service.entry(spec.service.clone()).or_default();
         let place = keys.partition_point(|known| order_of(known) < order_of(&spec.key));
         keys.insert(place, spec.key.clone());
@@ -283,7 +334,7 @@
         }
     }
 
-    /// Returns the servers of a service, ordered by name.
+    /// Returns the servers of a service within reach, ordered by name.
     pub fn servers_of<'a>(
         &'a self,
         service: &ServiceName,
@@ -292,6 +343,16 @@
         keys.iter().filter_map(|key| self.servers.get(key))
     }
 
+    /// Returns the servers of a service that are beyond reach, in no particular order.
+    pub fn servers_beyond<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a BackendState> {
+        self.servers.values().filter(move |state| {
+            state.reach == ServerReach::Beyond && state.spec.service == *service
+        })
+    }
+
     /// Returns all servers, in no particular order.
     pub fn servers(&self) -> impl ExactSizeIterator<Item = &BackendState> {
         self.servers.values()
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod processing;
 mod queue;
+mod reach;
 
 pub use budget::{BudgetPolicy, RetryWindow};
 pub use check_interval::check_interval;
@@ -25,3 +26,4 @@
     Placement, QueueDecision, QueueId, QueuePolicy, QueueRefusal, RefusalCause, RequestQueue,
     RequestSpec,
 };
+pub use reach::{ReachPlan, ServerReach};
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -2,6 +2,7 @@
 
 use crate::contention::ContentionCurve;
 use crate::estimates::{BackendState, LoadEstimates};
+use crate::reach::ServerReach;
 use model::{DataCentre, MonoTime, ServerKey, ServiceName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -45,8 +46,6 @@
     pub contention: &'a ContentionCurve,
     /// Servers that must not get the request.
     pub avoid: &'a [ServerKey],
-    /// Number of other instances that send to the same servers.
-    pub competing_instances: u32,
     /// Number of waiting requests of the service that are served before this one.
     pub ahead: usize,
     /// Time left before the deadline if the request will miss its objective even when sent now,
@@ -145,25 +144,29 @@
 }
 
 /// Returns the number of a server's slots that count as taken. Competing instances see the same
-/// free slots of a server in another data centre at the same time. For all but one of them this
-/// adds as many requests as this instance has sent since the report, and one more.
-fn claimed_slots(inputs: &PlacementInputs<'_>, state: &BackendState) -> u32 {
+/// free slots of a server at the same time. For each of them this adds as many requests as this
+/// instance has sent since the report, and one more. An idle server is never counted as full.
+fn claimed_slots(inputs: &PlacementInputs<'_>, state: &BackendState, useful_slots: u32) -> u32 {
     let occupancy = state.occupancy(inputs.now);
-    if state.spec.data_centre == *inputs.data_centre {
+    let ServerReach::Guest { competitors } = state.reach else {
         return occupancy;
-    }
-    let others = inputs.competing_instances.saturating_sub(1);
-    occupancy + others * (1 + state.sent_since_report())
+    };
+    let claims = competitors.saturating_mul(1 + state.sent_since_report());
+    occupancy + claims.min(useful_slots.saturating_sub(1))
 }
 
-/// Returns the servers of the service that may get the request now.
+/// Returns the servers of the service that may get the request now: those within reach or, if none of
+/// them can be used, any.
 fn candidates<'a>(inputs: &PlacementInputs<'a>) -> Vec<&'a BackendState> {
     let avoid = inputs.avoid;
-    inputs
-        .estimates
-        .servers_of(inputs.service)
-        .filter(|state| state.is_usable(inputs.now) && !avoid.contains(&state.spec.key))
-        .collect()
+    let is_candidate =
+        |state: &&BackendState| state.is_usable(inputs.now) && !avoid.contains(&state.spec.key);
+    let within: Vec<&BackendState> =
+        inputs.estimates.servers_of(inputs.service).filter(is_candidate).collect();
+    if !within.is_empty() {
+        return within;
+    }
+    inputs.estimates.servers_beyond(inputs.service).filter(is_candidate).collect()
 }
 
 impl PlacementPolicy for ExpectedFinish {
@@ -174,7 +177,8 @@
             return without_usable_server(inputs);
         }
         let slots_of = |state: &BackendState| inputs.contention.useful_slots(state.spec.slots);
-        let is_free = |state: &BackendState| claimed_slots(inputs, state) < slots_of(state);
+        let is_free =
+            |state: &BackendState| claimed_slots(inputs, state, slots_of(state)) < slots_of(state);
         let mut best: Option<(&BackendState, f64, f64)> = None;
         // Slots in use, converted to slots at normal speed that serve as many requests.
         let mut busy_at_normal_speed = 0.0;
@@ -225,6 +229,7 @@
     let mut eligible = inputs
         .estimates
         .servers_of(inputs.service)
+        .chain(inputs.estimates.servers_beyond(inputs.service))
         .filter(|state| state.is_eligible() && !avoid.contains(&state.spec.key));
     match eligible.next() {
         Some(_) => PlacementDecision::Wait(inputs.processing_time),
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -146,7 +146,6 @@
     waiting_count: usize,
     budgets: HashMap<ServiceName, RetryWindow>,
     extra_share: f64,
-    competing_instances: u32,
     next_id: u64,
 }
 
@@ -162,7 +161,6 @@
             waiting_count: 0,
             budgets: HashMap::new(),
             extra_share: 0.0,
-            competing_instances: 0,
             next_id: 0,
         }
     }
@@ -180,11 +178,6 @@
         }
     }
 
-    /// Sets the number of other instances that send to the same servers.
-    pub fn set_competing_instances(&mut self, competing_instances: u32) {
-        self.competing_instances = competing_instances;
-    }
-
     /// Returns the retry budget of a service, created without counts at the first use.
     pub fn budget(&mut self, service: &ServiceName) -> &mut RetryWindow {
         let (policy, share) = (self.policy.budget, self.extra_share);
@@ -281,7 +274,6 @@
             processing_time,
             contention: self.processing.contention(&spec.service),
             avoid: &spec.avoid,
-            competing_instances: self.competing_instances,
             ahead,
             finish_within,
         };
--- a/crates/balance/tests/placement.rs
+++ b/crates/balance/tests/placement.rs
@@ -2,8 +2,8 @@
 
 mod support;
 
-use balance::{ExchangeOutcome, QueueDecision, RequestQueue, RequestSpec};
-use model::{BackendSpec, SlotCount};
+use balance::{ExchangeOutcome, QueueDecision, ReachPlan, RequestQueue, RequestSpec};
+use model::{BackendSpec, InstanceName, SlotCount};
 use support::{at, key, queue, queue_of, report, request, spec};
 use testkit::cases;
 
@@ -84,7 +84,14 @@
 fn check_claimed_slots(centre: &str, competing_instances: u32, expected: usize) {
     let only = BackendSpec { slots: SlotCount(4), ..spec(0, centre) };
     let mut queue = queue_of(vec![only], 10);
-    queue.set_competing_instances(competing_instances);
+    let this: InstanceName = "this".parse().expect("name");
+    let others: Vec<InstanceName> = (0..competing_instances)
+        .map(|index| format!("other{index}").parse().expect("name"))
+        .collect();
+    let (north, west) = ("north".parse().expect("name"), "west".parse().expect("name"));
+    let homes = others.iter().map(|other| (other, &west)).chain([(&this, &north)]);
+    let plan = ReachPlan::new(homes);
+    queue.estimates.set_plan(this, north.clone(), plan);
     queue.estimates.record_report(at(50), &key(0), report(0, 1.0));
     let submit = |queue: &mut RequestQueue| queue.submit(at(51), request(at(51), 1));
     let sent = (0..6).filter(|_| matches!(submit(&mut queue), (_, Some(QueueDecision::Send(_)))));
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -2,8 +2,9 @@
 //! health checkers chosen among them.
 
 use crate::settings_file::GatewaySettings;
+use balance::ReachPlan;
 use fleet::{
-    ChangeBatch, ChangeOrigin, FleetSurvey, HeardHeartbeat, HeartbeatMessage, HomePolicy,
+    ChangeBatch, ChangeOrigin, FleetSurvey, HeardHeartbeat, HeartbeatMessage, HomePolicy, LoadRow,
     MemberRecord, MemberTable, PullReply, RelayView, StoreChange, StoreReplica, server_tag,
 };
 use model::{
@@ -20,9 +21,9 @@
 /// The homes that receive load reports on servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LoadReach {
-    /// All homes.
+    /// Those in this data centre and those elsewhere that are guests of the servers.
     All,
-    /// The homes in this data centre, or all homes if it has none.
+    /// Those in this data centre; like `All` if it has none.
     Near,
 }
 
@@ -173,16 +174,34 @@
         self.homes().iter().any(|home| home.data_centre == *centre)
     }
 
-    /// Datagram addresses of the homes that receive load reports on servers of this data centre.
-    pub fn load_report_targets(&self, reach: LoadReach) -> Vec<SocketAddr> {
+    /// Returns the load reports on servers of this data centre that each other home receives: the homes
+    /// of this data centre all of them, those elsewhere the ones on servers whose guests they are.
+    pub fn addressed_reports(
+        &self,
+        rows: &[LoadRow],
+        reach: LoadReach,
+        plan: &ReachPlan,
+    ) -> Vec<(SocketAddr, Vec<LoadRow>)> {
         let this = self.members.this();
-        let is_target = |home: &&MemberRecord| {
-            home.name != this.name
-                && (reach == LoadReach::All
-                    || home.data_centre == this.data_centre
-                    || !self.has_home_in(&this.data_centre))
-        };
-        self.homes().iter().filter(is_target).map(|home| home.datagram_address).collect()
+        let is_remote_due = reach == LoadReach::All || !self.has_home_in(&this.data_centre);
+        let mut guest_rows: HashMap<&InstanceName, Vec<LoadRow>> = HashMap::new();
+        for row in rows.iter().filter(|_| is_remote_due) {
+            let Some(server) = self.records.tags.get(&row.server) else {
+                continue;
+            };
+            for guest in plan.guests(&server.name, &this.data_centre) {
+                guest_rows.entry(guest).or_default().push(*row);
+            }
+        }
+        let mut addressed = Vec::new();
+        for home in self.homes().iter().filter(|home| home.name != this.name) {
+            if home.data_centre == this.data_centre {
+                addressed.push((home.datagram_address, rows.to_vec()));
+            } else if let Some(rows) = guest_rows.remove(&home.name) {
+                addressed.push((home.datagram_address, rows));
+            }
+        }
+        addressed
     }
 
     /// Datagram addresses of the instances to which this one sends its heartbeats: all others, or in a
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -9,7 +9,7 @@
 use crate::peer_port::send_load_reports;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
-use balance::{BackendState, LoadReport, check_interval};
+use balance::{BackendState, LoadReport, ServerReach, check_interval};
 use fleet::{LoadRow, server_tag};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
@@ -128,7 +128,9 @@
     let reports_are_rare = centre != own_centre && fleet.has_home_in(centre);
     let rounds = if reports_are_rare { REMOTE_REPORT_ROUNDS } else { 1 };
     let report_age_limit = (interval * REPORT_INTERVALS_MAX * rounds).max(REPORT_AGE_LIMIT_MIN);
-    fleet.home_rank().is_some() && server.report_age(now).is_none_or(|age| age > report_age_limit)
+    fleet.home_rank().is_some()
+        && server.reach != ServerReach::Beyond
+        && server.report_age(now).is_none_or(|age| age > report_age_limit)
 }
 
 /// Records load reports of a health checker.
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -54,9 +54,13 @@
 
 /// Sends load reports of this health checker to the homes.
 pub(crate) fn send_load_reports(state: &GatewayState, rows: &[LoadRow], reach: LoadReach) {
-    let targets = state.fleet_ref().load_report_targets(reach);
-    for chunk in rows.chunks(LOAD_ROWS_MAX) {
-        send_to(state, &PeerDatagram::LoadReports(chunk.to_vec()), &targets);
+    let queue = state.queue();
+    let addressed = state.fleet_ref().addressed_reports(rows, reach, queue.estimates.plan());
+    drop(queue);
+    for (target, rows) in addressed {
+        for chunk in rows.chunks(LOAD_ROWS_MAX) {
+            send_to(state, &PeerDatagram::LoadReports(chunk.to_vec()), &[target]);
+        }
     }
 }
 
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -4,7 +4,7 @@
 use crate::fleet_state::NamedRecord;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
-use balance::BackendState;
+use balance::{BackendState, ReachPlan};
 use fleet::{MemberRecord, StoreChange, StoreRecord};
 use model::{BackendSpec, InstanceName, ServerKey, StoreRevision};
 use smol_str::{SmolStr, format_smolstr};
@@ -157,8 +157,8 @@
 /// Share of the fleet's extra retries for all instances together that are not homes.
 const OTHERS_SHARE: f64 = 0.1;
 
-/// Updates the homes, the retry share and the number of competing instances. Logs a change of homes
-/// and sends a heartbeat.
+/// Updates the homes, the retry share and the plan by which homes share servers. Logs a change of
+/// homes and sends a heartbeat.
 pub(crate) fn refresh_fleet(state: &Rc<GatewayState>) {
     let now = state.now();
     let servers = state.queue().estimates.servers().count();
@@ -175,8 +175,9 @@
         Some(_) => (1.0 - OTHERS_SHARE) / homes.len().max(2) as f64,
         None => OTHERS_SHARE / fleet.members.member_count() as f64,
     };
-    let others = homes.len() - usize::from(fleet.home_rank().is_some());
-    let competing_instances = u32::try_from(others).unwrap_or(u32::MAX);
+    let plan = ReachPlan::new(fleet.homes().iter().map(|home| (&home.name, &home.data_centre)));
+    let this = fleet.members.this();
+    let (name, data_centre) = (this.name.clone(), this.data_centre.clone());
     let members = fleet.members.member_count();
     let detail = format_smolstr!("{homes:?} of {members} members");
     state.metrics.members.set(i64::try_from(members).unwrap_or(i64::MAX));
@@ -184,7 +185,7 @@
     drop(fleet);
     let mut queue = state.queue();
     queue.set_extra_share(share);
-    queue.set_competing_instances(competing_instances);
+    queue.estimates.set_plan(name, data_centre, plan);
     drop(queue);
     state.log.state("homes", &detail);
     if announces {
