--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -63,6 +63,67 @@
     pub changes: Vec<StoreChange>,
 }
 
+/// Bytes of a datagram that the headers of a batch may take.
+const BATCH_HEAD_BYTES: usize = 64;
+/// Bytes that a change takes besides its key and its value.
+const CHANGE_HEAD_BYTES: usize = 16;
+
+/// A batch of changes as datagrams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SplitBatch {
+    /// Consecutive batches that fit a datagram each.
+    pub datagrams: Vec<ChangeBatch>,
+    /// Whether they contain all changes. Otherwise the rest does not fit and must be pulled.
+    pub is_complete: bool,
+}
+
+impl ChangeBatch {
+    fn size(changes: &[StoreChange]) -> usize {
+        let size_of = |change: &StoreChange| {
+            change.key.len()
+                + change.value.as_ref().map_or(0, |value| value.len())
+                + CHANGE_HEAD_BYTES
+        };
+        BATCH_HEAD_BYTES + changes.iter().map(size_of).sum::<usize>()
+    }
+
+    /// Whether the batch fits a datagram.
+    pub fn fits_datagram(&self) -> bool {
+        Self::size(&self.changes) <= DATAGRAM_MAX_BYTES
+    }
+
+    /// Splits a batch of a watch, which has every single change, into datagrams. All changes of one
+    /// revision stay together, since a replica that has only some of them must not count as complete
+    /// up to it.
+    pub fn split(mut self) -> SplitBatch {
+        self.changes.sort_by_key(|change| change.revision);
+        let mut datagrams: Vec<Self> = Vec::new();
+        let mut after = self.after;
+        let mut packed: Vec<StoreChange> = Vec::new();
+        for group in self.changes.chunk_by(|left, right| left.revision == right.revision) {
+            let group_size = Self::size(group);
+            if group_size > DATAGRAM_MAX_BYTES {
+                datagrams.extend(Self::intermediate(after, packed));
+                return SplitBatch { datagrams, is_complete: false };
+            }
+            let is_full = Self::size(&packed) + group_size - BATCH_HEAD_BYTES > DATAGRAM_MAX_BYTES;
+            if is_full && let Some(batch) = Self::intermediate(after, std::mem::take(&mut packed)) {
+                after = batch.as_of;
+                datagrams.push(batch);
+            }
+            packed.extend_from_slice(group);
+        }
+        datagrams.push(Self { after, changes: packed, ..self });
+        SplitBatch { datagrams, is_complete: true }
+    }
+
+    /// A batch that ends before the newest revision, so it confirms nothing.
+    fn intermediate(after: StoreRevision, changes: Vec<StoreChange>) -> Option<Self> {
+        let as_of = changes.last()?.revision;
+        Some(Self { after, as_of, confirmed_age: Millis(u64::MAX), changes })
+    }
+}
+
 /// A health checker's load report on one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadRow {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod datagram;
 mod home;
 mod member;
+mod pull;
 mod record;
 mod registrar;
 mod relay;
@@ -15,10 +16,11 @@
 
 pub use datagram::{
     ChangeBatch, DATAGRAM_MAX_BYTES, HeardHeartbeat, HeartbeatMessage, LoadRow, PeerDatagram,
-    PullReply, server_tag,
+    PullReply, SplitBatch, server_tag,
 };
 pub use home::HomePolicy;
 pub use member::{FleetSurvey, MemberTable};
+pub use pull::{PullBackoff, SnapshotQuota};
 pub use record::{MemberRecord, RecordDecoder, StoreRecord};
 pub use registrar::{ANNOUNCE_INTERVAL, BATCH_RECORDS_MAX, LEASE_TTL, MemberRegistrar};
 pub use relay::{ChangeOrigin, RelayView};
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -6,8 +6,11 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
-/// Number of changes kept for other instances. An instance that is further behind needs a snapshot.
-const HISTORY_MAX: usize = 1024;
+/// Number of changes that an instance keeps if others pull from it. One that is further behind needs
+/// a snapshot.
+const HISTORY_MAX: usize = 4096;
+/// Number of changes that other instances keep.
+const FOLLOWER_HISTORY_MAX: usize = 64;
 
 /// A write or removal of one key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +45,8 @@
     history: VecDeque<StoreChange>,
     /// Revision after which `history` has all changes.
     history_after: StoreRevision,
+    /// Whether other instances pull changes from this one.
+    is_pulled_from: bool,
 }
 
 impl StoreReplica {
@@ -50,6 +55,11 @@
         self.as_of
     }
 
+    /// Sets whether other instances pull changes from this one, which then keeps more of them.
+    pub fn set_pulled_from(&mut self, is_pulled_from: bool) {
+        self.is_pulled_from = is_pulled_from;
+    }
+
     /// Returns the keys and values of all items, in the order of their keys.
     pub fn items(&self) -> impl Iterator<Item = (&SmolStr, &Arc<str>)> {
         self.items.iter().map(|(key, item)| (key, &item.value))
@@ -108,8 +118,11 @@
             }
         }
         if self.as_of == StoreRevision(0) {
-            // Removals before the first snapshot are unknown here.
+            // Removals before the first snapshot are unknown here. Of its items only those that changed
+            // while it was read are of use to others.
             self.history_after = as_of;
+            self.history.retain(|change| change.revision > as_of);
+            self.history.shrink_to_fit();
         }
         self.as_of = as_of;
         applied
@@ -135,7 +148,8 @@
             }
         }
         self.history.push_back(change.clone());
-        if self.history.len() > HISTORY_MAX
+        let length_max = if self.is_pulled_from { HISTORY_MAX } else { FOLLOWER_HISTORY_MAX };
+        while self.history.len() > length_max
             && let Some(oldest) = self.history.pop_front()
         {
             self.history_after = self.history_after.max(oldest.revision);
@@ -143,10 +157,15 @@
         true
     }
 
+    /// Whether the replica has reached a revision and the history has all changes after it.
+    pub fn reaches_back_to(&self, after: StoreRevision) -> bool {
+        (self.history_after..=self.as_of).contains(&after)
+    }
+
     /// Returns the changes after a revision; `None` if the history does not reach back that far or
     /// the replica has not reached that revision.
     pub fn changes_after(&self, after: StoreRevision) -> Option<Vec<StoreChange>> {
-        if after < self.history_after || after > self.as_of {
+        if !self.reaches_back_to(after) {
             return None;
         }
         Some(self.history.iter().filter(|change| change.revision > after).cloned().collect())
--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -1,7 +1,7 @@
 //! Tests of the store's replica under changes and snapshots in any order.
 
-use fleet::{ReplicaGap, StoreChange, StoreReplica};
-use model::StoreRevision;
+use fleet::{ChangeBatch, ReplicaGap, StoreChange, StoreReplica};
+use model::{Millis, StoreRevision};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -166,3 +166,82 @@
         prop_assert_eq!(content(&second), expected);
     }
 }
+
+fn batch(after: u64, as_of: u64, changes: Vec<StoreChange>) -> ChangeBatch {
+    let (after, as_of) = (StoreRevision(after), StoreRevision(as_of));
+    ChangeBatch { after, as_of, confirmed_age: Millis(0), changes }
+}
+
+/// A release of servers writes several records between two watches. They exceeded one datagram, so
+/// all 472 instances pulled them.
+#[test]
+fn a_long_batch_of_single_changes_is_split_into_consecutive_datagrams() {
+    let value = "x".repeat(250);
+    let changes: Vec<StoreChange> =
+        (11..31).map(|revision| change(&format!("k{revision}"), Some(&value), revision)).collect();
+    let split = batch(10, 33, changes).split();
+    assert!(split.is_complete);
+    assert!(split.datagrams.len() > 3, "{}", split.datagrams.len());
+    let mut replica = filled();
+    for datagram in split.datagrams {
+        assert!(datagram.fits_datagram());
+        replica
+            .apply_changes(datagram.after, datagram.as_of, datagram.changes)
+            .expect("datagrams are consecutive");
+    }
+    assert_eq!((replica.as_of(), replica.items().count()), (StoreRevision(33), 22));
+}
+
+#[test]
+fn a_lost_datagram_of_a_batch_leaves_a_gap() {
+    let value = "x".repeat(250);
+    let changes: Vec<StoreChange> =
+        (11..31).map(|revision| change(&format!("k{revision}"), Some(&value), revision)).collect();
+    let mut split = batch(10, 33, changes).split();
+    split.datagrams.remove(1);
+    let mut replica = filled();
+    let gaps = split.datagrams.into_iter().filter(|datagram| {
+        let changes = datagram.changes.clone();
+        replica.apply_changes(datagram.after, datagram.as_of, changes).is_err()
+    });
+    assert!(gaps.count() > 0);
+    assert!(replica.as_of() < StoreRevision(33));
+}
+
+/// One transaction writes many records with one revision. A replica with some of them must not count
+/// as complete up to it.
+#[test]
+fn changes_of_one_revision_are_never_split() {
+    let value = "x".repeat(250);
+    let mut changes = vec![change("first", Some("1"), 11)];
+    changes.extend((0..32).map(|index| change(&format!("m{index}"), Some(&value), 12)));
+    let split = batch(10, 12, changes).split();
+    assert!(!split.is_complete);
+    assert_eq!(split.datagrams.len(), 1);
+    assert_eq!(split.datagrams[0].as_of, StoreRevision(11));
+}
+
+#[test]
+fn a_first_snapshot_is_no_history_but_what_changed_during_its_read_is() {
+    let mut replica = StoreReplica::default();
+    let items = vec![change("a", Some("1"), 3), change("b", Some("2"), 12)];
+    replica.apply_snapshot(StoreRevision(10), items);
+    assert_eq!(replica.changes_after(StoreRevision(10)), Some(vec![change("b", Some("2"), 12)]));
+    assert_eq!(replica.changes_after(StoreRevision(9)), None);
+}
+
+#[test]
+fn an_instance_that_others_pull_from_keeps_more_changes() {
+    let mut kept = [false, true].map(|is_pulled_from| {
+        let mut replica = filled();
+        replica.set_pulled_from(is_pulled_from);
+        for revision in 11..1_011 {
+            let (after, as_of) = (StoreRevision(revision - 1), StoreRevision(revision));
+            let changes = vec![change("a", Some("x"), revision)];
+            replica.apply_changes(after, as_of, changes).expect("no gap");
+        }
+        replica.reaches_back_to(StoreRevision(10))
+    });
+    kept.sort();
+    assert_eq!(kept, [false, true]);
+}
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -124,6 +124,7 @@
         let survey = self.members.survey(now, home_count);
         let changed = survey.homes != self.survey.homes;
         self.survey = survey;
+        self.replica.set_pulled_from(self.is_sender());
         changed
     }
 
@@ -311,10 +312,15 @@
             changes,
         };
         match self.replica.changes_after(after) {
-            Some(changes) if after != StoreRevision(0) => {
+            Some(changes) if self.has_changes_after(after) => {
                 PullReply { after: Some(after), batch: batch(after, changes) }
             }
             _ => PullReply { after: None, batch: batch(StoreRevision(0), self.replica.snapshot()) },
         }
     }
+
+    /// Whether the changes after a revision are known one by one.
+    pub fn has_changes_after(&self, after: StoreRevision) -> bool {
+        after != StoreRevision(0) && self.replica.reaches_back_to(after)
+    }
 }
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use fleet::{
     ChangeBatch, ChangeOrigin, DATAGRAM_MAX_BYTES, HeardHeartbeat, LoadRow, MemberRecord,
-    PeerDatagram, PullReply,
+    PeerDatagram, PullReply, SplitBatch,
 };
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -29,8 +29,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// One heartbeat in this many carries the sender's record.
 const HEARTBEATS_PER_RECORD: u32 = 10;
-/// Bound on a request for missed changes.
-const PULL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Path prefix, followed by a revision, that returns the changes after it.
 const CHANGES_PATH: &str = "/v1/changes/";
 /// Path on which an instance asks another one to register it in the store.
@@ -75,21 +73,33 @@
     }
 }
 
-/// Relays changes of the store. A batch that exceeds a datagram is not sent; if it came from the
-/// store, a heartbeat announces it and the others fetch it.
-pub(crate) fn send_changes(state: &GatewayState, origin: ChangeOrigin, batch: ChangeBatch) {
-    let size: usize = batch
-        .changes
-        .iter()
-        .map(|change| change.key.len() + change.value.as_ref().map_or(0, |value| value.len()) + 16)
-        .sum();
-    if size + 64 > DATAGRAM_MAX_BYTES {
-        if origin == ChangeOrigin::Store {
-            send_heartbeat(state, false);
-        }
+/// Relays changes that this instance received from a watch of the store. Changes that do not fit a
+/// datagram are announced by a heartbeat, and the others fetch them.
+pub(crate) fn send_watched_changes(state: &GatewayState, batch: ChangeBatch) {
+    let SplitBatch { datagrams, is_complete } = batch.split();
+    let targets = state.fleet_ref().change_targets(ChangeOrigin::Store);
+    for batch in datagrams {
+        send_to(state, &PeerDatagram::Changes(batch), &targets);
+    }
+    if !is_complete {
+        send_heartbeat(state, false);
+    }
+}
+
+/// Relays changes found by a snapshot of the store, or announces them if they exceed a datagram. They
+/// cannot be split, since a snapshot tells only of the latest change of each key.
+pub(crate) fn send_snapshot_changes(state: &GatewayState, batch: ChangeBatch) {
+    if !batch.fits_datagram() {
+        send_heartbeat(state, false);
         return;
     }
-    let targets = state.fleet_ref().change_targets(origin);
+    let targets = state.fleet_ref().change_targets(ChangeOrigin::Store);
+    send_to(state, &PeerDatagram::Changes(batch), &targets);
+}
+
+/// Relays a datagram of changes that another instance sent.
+pub(crate) fn pass_on_changes(state: &GatewayState, batch: ChangeBatch) {
+    let targets = state.fleet_ref().change_targets(ChangeOrigin::Peer);
     send_to(state, &PeerDatagram::Changes(batch), &targets);
 }
 
@@ -191,11 +201,12 @@
     state: &GatewayState,
     from: SocketAddr,
     after: StoreRevision,
+    timeout: Duration,
 ) -> anyhow::Result<PullReply> {
     let request = Request::get(format!("{CHANGES_PATH}{after}"))
         .header(header::HOST, "peer")
         .body(Full::default())?;
-    let deadline = Instant::now() + PULL_TIMEOUT;
+    let deadline = Instant::now() + timeout;
     let response =
         state.peer_pool.exchange(from, request, ConnectionChoice::Pooled, deadline).await?;
     if response.status() != StatusCode::OK {
@@ -238,7 +249,12 @@
     let Some(after) = after else {
         return plain_response(StatusCode::NOT_FOUND, "no such path", None);
     };
-    let reply = state.fleet_ref().pull_reply(state.now(), after);
+    let now = state.now();
+    if !state.fleet_ref().has_changes_after(after) && !state.snapshots.borrow_mut().take(now) {
+        let text = "too many snapshots are requested";
+        return plain_response(StatusCode::SERVICE_UNAVAILABLE, text, None);
+    }
+    let reply = state.fleet_ref().pull_reply(now, after);
     match postcard::to_stdvec(&reply) {
         Ok(bytes) => http::Response::new(Full::new(Bytes::from(bytes))),
         Err(cause) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, &cause.to_string(), None),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::settings_file::GatewaySettings;
 use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, RequestQueue};
-use fleet::{MemberRegistrar, RecordDecoder};
+use fleet::{MemberRegistrar, PullBackoff, RecordDecoder, SnapshotQuota};
 use link::{LinkPool, LinkPoolBuilder};
 use model::{IncarnationId, InstanceName, MonoTime, ProcessClock};
 use routing::{RouteTable, SplitCursor};
@@ -76,6 +76,10 @@
     pub connections: Cell<usize>,
     /// Records of instances that this one registers in the store.
     pub registrar: RefCell<MemberRegistrar>,
+    /// Delays pulls of changes from other instances while they fail.
+    pub pull_backoff: RefCell<PullBackoff>,
+    /// Limits the snapshots that other instances pull from this one.
+    pub snapshots: RefCell<SnapshotQuota>,
     /// Wakes the task that writes the records of `registrar`.
     pub registrar_wakeup: Notify,
     /// Registrations in progress, notified whether the store accepted the record.
@@ -136,6 +140,8 @@
             body_bytes: Cell::new(0),
             connections: Cell::new(0),
             registrar: RefCell::default(),
+            pull_backoff: RefCell::default(),
+            snapshots: RefCell::default(),
             registrar_wakeup: Notify::new(),
             registration_waiters: RefCell::default(),
             has_written_records: Cell::new(false),
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -1,10 +1,12 @@
 //! Keeps the replica of the store up to date, by watching the store or from other instances.
 
-use crate::peer_port::{notify_own_centre, pull_changes, send_changes};
+use crate::peer_port::{
+    notify_own_centre, pass_on_changes, pull_changes, send_snapshot_changes, send_watched_changes,
+};
 use crate::records::{apply_records, refresh_fleet};
 use crate::registration::is_registered;
 use crate::state::GatewayState;
-use fleet::{ChangeBatch, ChangeOrigin, StoreChange, WatchDuty, WatchInputs, watch_duty};
+use fleet::{ChangeBatch, StoreChange, WatchDuty, WatchInputs, watch_duty};
 use model::{Millis, StoreRevision};
 use rand::RngExt;
 use rand::seq::SliceRandom;
@@ -150,8 +152,8 @@
     let applied = state.fleet().replica.apply_snapshot(as_of, items);
     if freshness == ReadFreshness::MayBeOld {
         apply_first_snapshot(state, &applied);
-    } else {
-        apply_confirmed_changes(state, after, as_of, applied);
+    } else if let Some(batch) = apply_confirmed_changes(state, after, as_of, applied) {
+        send_snapshot_changes(state, batch);
     }
     Ok(())
 }
@@ -174,9 +176,11 @@
     let is_empty = items.is_empty();
     let changes = items.into_iter().map(change_of).collect();
     let applied = state.fleet().replica.apply_changes(after, as_of, changes);
-    match applied {
-        Ok(applied) => apply_confirmed_changes(state, after, as_of, applied),
-        Err(_) => return Ok(false),
+    let Ok(applied) = applied else {
+        return Ok(false);
+    };
+    if let Some(batch) = apply_confirmed_changes(state, after, as_of, applied) {
+        send_watched_changes(state, batch);
     }
     if !is_empty {
         let is_first = state.fleet_ref().home_rank() == Some(0);
@@ -197,27 +201,31 @@
     state.fleet().supersede_registered_incarnation();
 }
 
-/// Applies changes that this instance received from the store itself, and relays them.
+/// Applies changes that this instance received from the store itself. Returns the batch to relay, if
+/// there are any.
 fn apply_confirmed_changes(
     state: &Rc<GatewayState>,
     after: StoreRevision,
     as_of: StoreRevision,
     applied: Vec<StoreChange>,
-) {
-    let now = state.now();
-    state.fleet().confirm(now, as_of, Duration::ZERO);
-    if !applied.is_empty() {
-        apply_records(state, &applied);
-        let batch = ChangeBatch { after, as_of, confirmed_age: Millis(0), changes: applied };
-        send_changes(state, ChangeOrigin::Store, batch);
+) -> Option<ChangeBatch> {
+    state.fleet().confirm(state.now(), as_of, Duration::ZERO);
+    if applied.is_empty() {
+        return None;
     }
+    apply_records(state, &applied);
+    Some(ChangeBatch { after, as_of, confirmed_age: Millis(0), changes: applied })
 }
 
 /// Fetches changes beyond the replica from other instances, or from the seeds if there is no
 /// replica yet.
 pub(crate) async fn catch_up(state: &Rc<GatewayState>) {
+    let now = state.now();
+    if !state.pull_backoff.borrow().is_due(now) {
+        return;
+    }
     let after = state.fleet_ref().replica.as_of();
-    let mut sources = state.fleet().pull_sources(state.now());
+    let mut sources = state.fleet().pull_sources(now);
     if sources.is_empty() && after == StoreRevision(0) {
         let settings = state.settings();
         sources = settings.seeds.clone();
@@ -228,19 +236,25 @@
     let mut failure = None;
     for source in sources {
         match pull_from(state, source).await {
-            Ok(()) => return,
+            Ok(()) => {
+                state.pull_backoff.borrow_mut().record_success();
+                return;
+            }
             Err(cause) => failure = Some(format_smolstr!("{source}: {cause}")),
         }
     }
     if let Some(failure) = failure {
         state.log.state("pull_failed", &failure);
+        let jitter = rand::rng().random_range(0.5..1.5);
+        state.pull_backoff.borrow_mut().record_failure(state.now(), jitter);
     }
 }
 
 /// Fetches and applies changes beyond the replica from one instance.
 pub(crate) async fn pull_from(state: &Rc<GatewayState>, source: SocketAddr) -> anyhow::Result<()> {
     let after = state.fleet_ref().replica.as_of();
-    let reply = pull_changes(state, source, after).await?;
+    let timeout = state.pull_backoff.borrow().timeout();
+    let reply = pull_changes(state, source, after, timeout).await?;
     apply_pull_reply(state, reply);
     Ok(())
 }
@@ -274,7 +288,7 @@
             state.fleet().confirm(now, batch.as_of, batch.confirmed_age.duration());
             apply_records(state, &applied);
             if !applied.is_empty() {
-                send_changes(state, ChangeOrigin::Peer, batch);
+                pass_on_changes(state, batch);
             }
             false
         }
