Count suspensions in the process clock; confirm the view of the fleet after a pause

Cause: the steady clock does not count the time for which a machine is suspended, so deadlines, leases and ages of reports outlived it; after a freeze of some seconds an instance acted at once on its old routes, servers and homes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod datagram;
 mod home;
 mod member;
+mod pause;
 mod pull;
 mod record;
 mod registrar;
@@ -20,6 +21,7 @@
 };
 pub use home::HomePolicy;
 pub use member::{FleetSurvey, MemberTable};
+pub use pause::PauseDetector;
 pub use pull::{PullBackoff, SnapshotQuota};
 pub use record::{MemberRecord, RecordDecoder, StoreRecord};
 pub use registrar::{ANNOUNCE_INTERVAL, BATCH_RECORDS_MAX, LEASE_TTL, MemberRegistrar};
--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -66,6 +66,7 @@
     request: Request<Incoming>,
 ) -> Result<(RoutedRequest, HeldBytes), RequestRejection> {
     let arrived = state.now();
+    state.wait_confirmed().await;
     let table = state.table().ok_or_else(RequestRejection::no_config)?;
     let route = find_route(&table, &request)?;
     let names = state.binding.headers();
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -133,9 +133,10 @@
         let was_woken = tokio::time::timeout(HEARTBEAT_INTERVAL, state.heartbeat_wakeup.notified())
             .await
             .is_ok();
+        let is_outdated = state.is_outdated();
         refresh_fleet(&state);
         let is_sender = state.fleet_ref().is_sender();
-        if was_woken || is_sender {
+        if (was_woken || is_sender) && !is_outdated {
             send_heartbeat(&state, was_woken || sent.is_multiple_of(HEARTBEATS_PER_RECORD));
             sent = sent.wrapping_add(1);
         }
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -186,6 +186,7 @@
                 let _ = tokio::time::timeout(due, state.registrar_wakeup.notified()).await;
             }
             Some(_) => {
+                state.wait_confirmed().await;
                 let result = write_batch(&state, &mut lease).await;
                 if let Err(cause) = &result {
                     state.log.state("listing_unwritten", &format_smolstr!("{cause}"));
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -21,6 +21,15 @@
     if request.uri().path() != state.binding.directory_path() {
         return plain_response(StatusCode::NOT_FOUND, "no such path", None);
     }
+    // Other instances know the homes better.
+    if state.is_outdated() {
+        let text = "not confirmed since a pause";
+        return plain_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            text,
+            Some(NO_INSTANCE_RETRY_AFTER),
+        );
+    }
     // Without a replica only the few instances that send heartbeats are known, and all callers
     // would be sent to those.
     if state.fleet_ref().replica.as_of() == StoreRevision(0) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,10 +6,11 @@
 use crate::metrics::GatewayMetrics;
 use crate::settings_file::GatewaySettings;
 use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, RequestQueue};
-use fleet::{MemberRegistrar, PullBackoff, RecordDecoder, SnapshotQuota};
+use fleet::{MemberRegistrar, PauseDetector, PullBackoff, RecordDecoder, SnapshotQuota};
 use link::{BodyBudget, LinkPool, LinkPoolBuilder};
 use model::{IncarnationId, InstanceName, MonoTime, ProcessClock};
 use routing::{RouteTable, SplitCursor};
+use smol_str::format_smolstr;
 use std::cell::{Cell, Ref, RefCell, RefMut};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -34,6 +35,9 @@
 /// Open connections to one backend server. Low, because the server's limit covers all instances.
 const SERVER_CONNECTIONS_MAX: usize = 40;
 
+/// Interval between checks whether the view of the fleet is confirmed after a pause.
+const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Returns a share of the instance's memory, in bytes.
 fn memory_share(settings: &GatewaySettings, share: f64) -> usize {
     (settings.memory_mb as f64 * 1024.0 * 1024.0 * share) as usize
@@ -85,6 +89,8 @@
     pub connections: Cell<usize>,
     /// Records of instances that this one registers in the store.
     pub registrar: RefCell<MemberRegistrar>,
+    /// Notices that the process stood still.
+    pub pauses: RefCell<PauseDetector>,
     /// Delays pulls of changes from other instances while they fail.
     pub pull_backoff: RefCell<PullBackoff>,
     /// Limits the snapshots that other instances pull from this one.
@@ -150,6 +156,7 @@
             request_bodies: BodyBudget::new(memory_share(&settings, REQUEST_BODY_SHARE)),
             connections: Cell::new(0),
             registrar: RefCell::default(),
+            pauses: RefCell::default(),
             pull_backoff: RefCell::default(),
             snapshots: RefCell::default(),
             registrar_wakeup: Notify::new(),
@@ -187,6 +194,27 @@
         self.fleet.borrow()
     }
 
+    /// Whether the process just stood still and its view of the fleet is not confirmed since. Closes
+    /// the idle connections after a pause: their other ends may have closed them meanwhile.
+    pub fn is_outdated(&self) -> bool {
+        let now = self.now();
+        let mut pauses = self.pauses.borrow_mut();
+        if let Some(pause) = pauses.tick(now) {
+            self.log.state("resumed", &format_smolstr!("after {} ms", pause.as_millis()));
+            self.pool.retain(|_| false);
+            self.peer_pool.retain(|_| false);
+            self.sync_wakeup.notify_one();
+        }
+        pauses.is_outdated(now, self.fleet_ref().confirmed_at)
+    }
+
+    /// Waits, after a pause, until the view of the fleet is confirmed or that takes too long.
+    pub async fn wait_confirmed(&self) {
+        while self.is_outdated() {
+            tokio::time::sleep(CONFIRMATION_POLL_INTERVAL).await;
+        }
+    }
+
     pub fn is_stopping(&self) -> bool {
         self.phase.get() == RunPhase::Stopping
     }
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -38,25 +38,38 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// Reads the monotonic clock of the process.
+/// Reads the monotonic clock of the machine, which also counts the time for which the machine was
+/// suspended. Deadlines, leases and ages of what others said run out in that time.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessClock {
-    start: Instant,
+    start: Duration,
+}
+
+/// Returns the time since the machine booted, suspensions included.
+fn boot_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::from_secs(seconds)
+        + Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or_default())
 }
 
 impl ProcessClock {
     /// Starts a clock that reads zero now.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: boot_time() }
     }
 
     /// Returns the time since the start.
     pub fn now(self) -> MonoTime {
-        MonoTime(whole_micros(self.start.elapsed()))
+        MonoTime(whole_micros(boot_time().saturating_sub(self.start)))
     }
 
-    /// Returns the instant at which the clock reads `time`.
+    /// Returns the instant at which the clock reads `time`, unless the machine is suspended before.
     pub fn instant_of(self, time: MonoTime) -> Instant {
-        self.start + Duration::from_micros(time.0)
+        let (now, instant) = (self.now(), Instant::now());
+        match time > now {
+            true => instant + time.since(now),
+            false => instant.checked_sub(now.since(time)).unwrap_or(instant),
+        }
     }
 }
