--- a/crates/fleet/src/home.rs
+++ b/crates/fleet/src/home.rs
@@ -52,8 +52,9 @@
     let mut bytes = [0; 8];
     bytes.copy_from_slice(&hash.as_bytes()[..8]);
     let fraction = (u64::from_le_bytes(bytes) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    // The square makes it unlikely that a small instance becomes the home of many servers.
-    let weight = f64::from(capacity.max(1)).powi(2);
+    // The power makes it unlikely that a small instance, of which a fleet may have many, becomes the
+    // home of many servers while larger ones are idle.
+    let weight = f64::from(capacity.max(1)).powi(4);
     -weight / fraction.ln()
 }
 
--- a/crates/fleet/src/pull.rs
+++ b/crates/fleet/src/pull.rs
@@ -10,15 +10,21 @@
 const DELAY_FIRST: Duration = Duration::from_millis(100);
 /// Number of failed pulls after which delay and bound no longer grow.
 const DOUBLINGS_MAX: u32 = 3;
-/// Time between two snapshots that an instance sends to others. Each takes much of a small instance's
-/// link; changes take little.
-const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two snapshots that an instance sends to others.
+const SNAPSHOT_INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Share of an instance's link that snapshots may take.
+const SNAPSHOT_LINK_SHARE: f64 = 0.25;
+/// Number of failed pulls after which an instance reads the store instead.
+const FAILURES_BEFORE_READ: u32 = 2;
+/// Time between two such reads.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Delays the pulls of an instance while they fail.
 #[derive(Debug, Clone, Default)]
 pub struct PullBackoff {
     failures: u32,
     next_at: MonoTime,
+    read_at: Option<MonoTime>,
 }
 
 impl PullBackoff {
@@ -35,7 +41,18 @@
 
     /// Records a successful pull.
     pub fn record_success(&mut self) {
-        *self = Self::default();
+        *self = Self { read_at: self.read_at, ..Self::default() };
+    }
+
+    /// Whether the instance should read the store, since no other one supplies what it lacks. If so,
+    /// counts the read.
+    pub fn take_read(&mut self, now: MonoTime) -> bool {
+        let is_due = self.failures >= FAILURES_BEFORE_READ
+            && self.read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL);
+        if is_due {
+            self.read_at = Some(now);
+        }
+        is_due
     }
 
     /// Records a failed pull. `jitter`, about 1, spreads the pulls of many instances.
@@ -45,19 +62,30 @@
     }
 }
 
-/// Limits how often an instance sends whole snapshots.
-#[derive(Debug, Clone, Default)]
+/// Limits how often an instance sends whole snapshots, by the rate of its link.
+#[derive(Debug, Clone)]
 pub struct SnapshotQuota {
+    bytes_per_s: f64,
     next_at: MonoTime,
 }
 
 impl SnapshotQuota {
-    /// Whether a snapshot may be sent now. If so, counts it.
-    pub fn take(&mut self, now: MonoTime) -> bool {
-        let is_allowed = now >= self.next_at;
-        if is_allowed {
-            self.next_at = now.plus(SNAPSHOT_INTERVAL);
+    /// Creates a quota for a link with this rate in megabits a second.
+    pub fn new(link_mbps: f64) -> Self {
+        Self {
+            bytes_per_s: (link_mbps * 1e6 / 8.0 * SNAPSHOT_LINK_SHARE).max(1.0),
+            next_at: MonoTime(0),
         }
-        is_allowed
+    }
+
+    /// Whether a snapshot may be sent now.
+    pub fn is_allowed(&self, now: MonoTime) -> bool {
+        now >= self.next_at
+    }
+
+    /// Counts a snapshot of `bytes`.
+    pub fn record_snapshot(&mut self, now: MonoTime, bytes: usize) {
+        let on_link = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        self.next_at = now.plus(on_link.max(SNAPSHOT_INTERVAL_MIN));
     }
 }
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -251,13 +251,19 @@
         return plain_response(StatusCode::NOT_FOUND, "no such path", None);
     };
     let now = state.now();
-    if !state.fleet_ref().has_changes_after(after) && !state.snapshots.borrow_mut().take(now) {
+    let is_snapshot = !state.fleet_ref().has_changes_after(after);
+    if is_snapshot && !state.snapshots.borrow().is_allowed(now) {
         let text = "too many snapshots are requested";
         return plain_response(StatusCode::SERVICE_UNAVAILABLE, text, None);
     }
     let reply = state.fleet_ref().pull_reply(now, after);
     match postcard::to_stdvec(&reply) {
-        Ok(bytes) => http::Response::new(Full::new(Bytes::from(bytes))),
+        Ok(bytes) => {
+            if is_snapshot {
+                state.snapshots.borrow_mut().record_snapshot(now, bytes.len());
+            }
+            http::Response::new(Full::new(Bytes::from(bytes)))
+        }
         Err(cause) => plain_response(StatusCode::INTERNAL_SERVER_ERROR, &cause.to_string(), None),
     }
 }
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -35,6 +35,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Capacity in requests per second, from the scarcest of cores, link and memory.
     pub capacity: u32,
+    /// Rate of the link, in megabits a second.
+    pub link_mbps: f64,
     /// Limit on open files and connections.
     pub descriptors: usize,
     /// Memory, in megabytes.
@@ -100,6 +102,7 @@
             store_address: store_address?,
             seeds,
             capacity: capacity_of(cores, link_mbps, memory_mb),
+            link_mbps,
             descriptors,
             memory_mb,
             directory_ttl: seconds(keep_s.min(keep_max_s)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -158,7 +158,7 @@
             registrar: RefCell::default(),
             pauses: RefCell::default(),
             pull_backoff: RefCell::default(),
-            snapshots: RefCell::default(),
+            snapshots: RefCell::new(SnapshotQuota::new(settings.link_mbps)),
             registrar_wakeup: Notify::new(),
             registration_waiters: RefCell::default(),
             has_written_records: Cell::new(false),
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -248,6 +248,10 @@
         let jitter = rand::rng().random_range(0.5..1.5);
         state.pull_backoff.borrow_mut().record_failure(state.now(), jitter);
     }
+    let must_read = state.pull_backoff.borrow_mut().take_read(state.now());
+    if must_read && let Err(cause) = read_store(state, ReadFreshness::MayBeOld).await {
+        state.log.state("store_call_failed", &format_smolstr!("{cause}"));
+    }
 }
 
 /// Fetches and applies changes beyond the replica from one instance.
