--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -7,13 +7,17 @@
 use http::{HeaderValue, Request, StatusCode, Uri, header};
 use hyper::body::{Body, Incoming};
 use link::{BodyError, HeldBytes, read_body};
-use model::Millis;
+use model::{Millis, StoreRevision};
 use routing::{RouteEntry, RouteTable};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// `Retry-After` when the memory for bodies is used up.
 const BODY_MEMORY_RETRY_AFTER: Millis = Millis(200);
+/// Longest wait of a request for the first snapshot of the store.
+const FIRST_SNAPSHOT_WAIT: Duration = Duration::from_millis(500);
+/// Interval between checks whether the first snapshot is read.
+const FIRST_SNAPSHOT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Longest time to the deadline; longer values in the deadline header are cut to it.
 const DEADLINE_MAX: Duration = Duration::from_secs(120);
 
@@ -61,12 +65,24 @@
     route.cloned().ok_or_else(|| RequestRejection::new(StatusCode::NOT_FOUND, "no route"))
 }
 
+/// Waits while an instance that just started reads its first snapshot. It takes a fraction of the time
+/// after which a refused caller would come back.
+async fn wait_first_snapshot(state: &GatewayState) {
+    let until = state.now().plus(FIRST_SNAPSHOT_WAIT);
+    let is_empty =
+        || state.table().is_none() || state.fleet_ref().replica.as_of() == StoreRevision(0);
+    while is_empty() && state.now() < until {
+        tokio::time::sleep(FIRST_SNAPSHOT_POLL_INTERVAL).await;
+    }
+}
+
 async fn accept_request(
     state: &Rc<GatewayState>,
     request: Request<Incoming>,
 ) -> Result<(RoutedRequest, HeldBytes), RequestRejection> {
     let arrived = state.now();
     state.wait_confirmed().await;
+    wait_first_snapshot(state).await;
     let table = state.table().ok_or_else(RequestRejection::no_config)?;
     let route = find_route(&table, &request)?;
     let names = state.binding.headers();
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -10,6 +10,7 @@
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
+use store::replicated::ItemState;
 
 /// How long a server stays in use after its record vanished while the store was failing. Less than
 /// the two seconds in which a leaving server may still get requests.
@@ -38,6 +39,18 @@
     advance_queue(state);
 }
 
+/// Takes over the configuration and the members among items of a snapshot that is still being read.
+pub(crate) fn preview_records(state: &Rc<GatewayState>, items: &[ItemState]) {
+    for item in items {
+        let record = item.value.as_ref().map(|value| state.decoder.decode(&item.key, value));
+        match record {
+            Some(StoreRecord::Config(table)) => apply_config(state, table),
+            Some(StoreRecord::Member(member)) => state.fleet().members.register(member),
+            _ => {}
+        }
+    }
+}
+
 fn apply_change(state: &Rc<GatewayState>, change: &StoreChange, logs_each: bool) {
     let record = change.value.as_ref().map(|value| state.decoder.decode(&change.key, value));
     let earlier = state.fleet().records.remove(&change.key);
@@ -154,6 +167,8 @@
     }
 }
 
+/// Backend servers for each member that are assumed until the servers' records are read.
+const ASSUMED_SERVERS_PER_MEMBER: usize = 2;
 /// Share of the fleet's extra retries for all instances together that are not homes.
 const OTHERS_SHARE: f64 = 0.1;
 
@@ -161,7 +176,10 @@
 /// homes and sends a heartbeat.
 pub(crate) fn refresh_fleet(state: &Rc<GatewayState>) {
     let now = state.now();
-    let servers = state.queue().estimates.servers().count();
+    let servers = match state.fleet_ref().replica.as_of() {
+        StoreRevision(0) => ASSUMED_SERVERS_PER_MEMBER * state.fleet_ref().members.member_count(),
+        _ => state.queue().estimates.servers().len(),
+    };
     let policy = state.settings().homes;
     let mut fleet = state.fleet();
     let is_ready = state.is_ready();
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -30,9 +30,9 @@
             Some(NO_INSTANCE_RETRY_AFTER),
         );
     }
-    // Without a replica only the few instances that send heartbeats are known, and all callers
-    // would be sent to those.
-    if state.fleet_ref().replica.as_of() == StoreRevision(0) {
+    // Without the store's records only the few instances that send heartbeats are known, and all
+    // callers would be sent to those.
+    if state.fleet_ref().replica.as_of() == StoreRevision(0) && state.table().is_none() {
         let text = "no copy of the store yet";
         return plain_response(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -3,18 +3,18 @@
 use crate::peer_port::{
     notify_own_centre, pass_on_changes, pull_changes, send_snapshot_changes, send_watched_changes,
 };
-use crate::records::{apply_records, refresh_fleet};
+use crate::records::{apply_records, preview_records, refresh_fleet};
 use crate::registration::is_registered;
 use crate::state::GatewayState;
 use fleet::{ChangeBatch, StoreChange, WatchDuty, WatchInputs, watch_duty};
 use model::{Millis, StoreRevision};
 use rand::RngExt;
 use rand::seq::SliceRandom;
-use smol_str::format_smolstr;
+use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use store::{ReadFreshness, StoreError, StoreItems, WatchReply};
+use store::{ReadFreshness, StoreError, StoreItems, StorePage, WatchReply, read_all};
 
 /// Time after which the store replies to a watch without changes. Also bounds the time until a
 /// stalled connection is detected.
@@ -39,6 +39,10 @@
 const REGISTERED_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Number of instances that one catch-up asks for changes, one after the other.
 const PULLS_MAX: usize = 2;
+/// Largest fleet whose members all read the store at once when they start.
+const UNSTAGGERED_MEMBERS_MAX: usize = 150;
+/// Time on the store's link that the first read of one instance takes in a large fleet.
+const FIRST_READ_PERIOD: Duration = Duration::from_millis(6);
 /// Replaces [`WATCH_TIMEOUT`] until the store has confirmed the replica. Short, because the reply
 /// confirms the first snapshot, which may be out of date.
 const FIRST_WATCH_TIMEOUT: Millis = Millis(1);
@@ -61,7 +65,10 @@
         }
         state.fleet().is_watching = true;
         let after = state.fleet_ref().replica.as_of();
-        let result = if needs_read || after == StoreRevision(0) {
+        let result = if after == StoreRevision(0) {
+            // Confirmed by the watch that follows.
+            read_store(&state, ReadFreshness::MayBeOld).await.map(|()| needs_read = false)
+        } else if needs_read {
             read_store(&state, ReadFreshness::Newest).await.map(|()| needs_read = false)
         } else {
             watch_store(&state, after).await.map(|is_complete| needs_read = !is_complete)
@@ -85,7 +92,7 @@
 /// Reads a first snapshot of the store, which may be out of date, or fetches it from another
 /// instance. Returns whether there is one.
 async fn read_first_snapshot(state: &Rc<GatewayState>) -> bool {
-    match read_store(state, ReadFreshness::MayBeOld).await {
+    match read_staggered(state).await {
         Ok(()) => true,
         Err(cause) => {
             record_store_failure(state, &cause);
@@ -95,6 +102,56 @@
     }
 }
 
+/// Reads a first snapshot page by page. The configuration and the members of a page are in use at
+/// once. When a whole large fleet restarts, its reads together take seconds on the store's link; so
+/// once an instance knows the configuration and that others are homes, it leaves them the link
+/// for a while before it reads on.
+async fn read_staggered(state: &Rc<GatewayState>) -> Result<(), StoreError> {
+    let store = Rc::clone(&state.store.borrow());
+    let mut snapshot: Option<StoreItems> = None;
+    let mut after = SmolStr::default();
+    let mut has_waited = false;
+    loop {
+        let page = store.read_page(after, ReadFreshness::MayBeOld).await;
+        state.metrics.store_call("read_old", page.is_ok());
+        let StorePage { items, next_after } = page?;
+        if next_after.is_some() {
+            preview_records(state, &items.items);
+        }
+        match &mut snapshot {
+            Some(snapshot) => snapshot.items.extend(items.items),
+            None => snapshot = Some(items),
+        }
+        let Some(next_after) = next_after else {
+            break;
+        };
+        after = next_after;
+        if !has_waited && state.table().is_some() {
+            has_waited = true;
+            refresh_fleet(state);
+            tokio::time::sleep(first_read_delay(state)).await;
+        }
+    }
+    let Some(StoreItems { as_of, items }) = snapshot else {
+        return Ok(());
+    };
+    let items = items.into_iter().map(change_of).collect();
+    let applied = state.fleet().replica.apply_snapshot(as_of, items);
+    apply_first_snapshot(state, &applied);
+    Ok(())
+}
+
+/// Returns how long this instance leaves the store's link to others, by the size of the fleet.
+fn first_read_delay(state: &GatewayState) -> Duration {
+    let fleet = state.fleet_ref();
+    let members = fleet.members.member_count();
+    if fleet.is_sender() || members <= UNSTAGGERED_MEMBERS_MAX {
+        return Duration::ZERO;
+    }
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    (FIRST_READ_PERIOD * members).mul_f64(rand::rng().random_range(0.1..1.0))
+}
+
 /// Waits until this instance is registered or has registered others, at most
 /// [`REGISTERED_TIMEOUT`].
 async fn wait_registered(state: &Rc<GatewayState>) {
@@ -143,7 +200,7 @@
 
 async fn read_store(state: &Rc<GatewayState>, freshness: ReadFreshness) -> Result<(), StoreError> {
     let store = Rc::clone(&state.store.borrow());
-    let result = store.read_all(freshness).await;
+    let result = read_all(store.as_ref(), freshness).await;
     let label = if freshness == ReadFreshness::Newest { "read" } else { "read_old" };
     state.metrics.store_call(label, result.is_ok());
     let StoreItems { as_of, items } = result?;
--- a/crates/gateway/tests/support/memory_store.rs
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -8,9 +8,12 @@
 use std::time::{Duration, Instant};
 use store::replicated::ItemState;
 use store::{
-    ItemWrite, LeaseId, ReadFreshness, ReplicaStore, StoreCall, StoreError, StoreItems, WatchReply,
+    ItemWrite, LeaseId, ReadFreshness, ReplicaStore, StoreCall, StoreError, StoreItems, StorePage,
+    WatchReply,
 };
 
+/// Items in one page of a read. Few, so that the tests read several.
+const PAGE_ITEMS_MAX: usize = 2;
 /// Interval at which a watch checks for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -124,11 +127,16 @@
 }
 
 impl ReplicaStore for InstanceStore {
-    fn read_all(&self, _freshness: ReadFreshness) -> StoreCall<'_, StoreItems> {
+    fn read_page(&self, after: SmolStr, _freshness: ReadFreshness) -> StoreCall<'_, StorePage> {
         async move {
             let state = self.lock_unless_refused()?;
-            let items = state.items.values().cloned().collect();
-            Ok(StoreItems { as_of: StoreRevision(state.revision), items })
+            let is_next = |item: &&ItemState| item.key > after;
+            let mut items: Vec<ItemState> = state.items.values().filter(is_next).cloned().collect();
+            let next_after = items.get(PAGE_ITEMS_MAX - 1).map(|item| item.key.clone());
+            let next_after = next_after.filter(|_| items.len() > PAGE_ITEMS_MAX);
+            items.truncate(PAGE_ITEMS_MAX);
+            let items = StoreItems { as_of: StoreRevision(state.revision), items };
+            Ok(StorePage { items, next_after })
         }
         .boxed_local()
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -10,5 +10,7 @@
 pub mod store;
 
 pub use http_store::HttpStore;
-pub use replicated::{ItemWrite, ReadFreshness, ReplicaStore, StoreCall, StoreItems, WatchReply};
+pub use replicated::{
+    ItemWrite, ReadFreshness, ReplicaStore, StoreCall, StoreItems, StorePage, WatchReply, read_all,
+};
 pub use store::{LeaseId, PlatformStore, StoreError, StoreFuture, StoreKey, StoredValue};
--- a/crates/store/src/replicated.rs
+++ b/crates/store/src/replicated.rs
@@ -30,6 +30,15 @@
     pub items: Vec<ItemState>,
 }
 
+/// One page of a read, in the order of the keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StorePage {
+    /// Items of the page, and the revision before it was read.
+    pub items: StoreItems,
+    /// Last key of the page if another page follows.
+    pub next_after: Option<SmolStr>,
+}
+
 /// The reply to a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchReply {
@@ -60,8 +69,8 @@
 
 /// Calls to a store that keeps the fleet's records under many keys. All errors are [`StoreError`].
 pub trait ReplicaStore {
-    /// Reads all items, possibly in several pages.
-    fn read_all(&self, freshness: ReadFreshness) -> StoreCall<'_, StoreItems>;
+    /// Reads the page of items that begins after a key; the first page begins after the empty key.
+    fn read_page(&self, after: SmolStr, freshness: ReadFreshness) -> StoreCall<'_, StorePage>;
 
     /// Waits for changes after a revision, for at most `wait`.
     fn watch(&self, after: StoreRevision, wait: Millis) -> StoreCall<'_, WatchReply>;
@@ -73,3 +82,22 @@
     /// Returns the revision of the write.
     fn put_all(&self, writes: Vec<ItemWrite>, lease: LeaseId) -> StoreCall<'_, StoreRevision>;
 }
+
+/// Reads all items, page by page. The returned revision is that of the first page: a watch from there
+/// also returns the changes made while later pages were read.
+///
+/// # Errors
+/// A page could not be read.
+pub async fn read_all(
+    store: &dyn ReplicaStore,
+    freshness: ReadFreshness,
+) -> Result<StoreItems, StoreError> {
+    let StorePage { mut items, mut next_after } =
+        store.read_page(SmolStr::default(), freshness).await?;
+    while let Some(after) = next_after {
+        let page = store.read_page(after, freshness).await?;
+        items.items.extend(page.items.items);
+        next_after = page.next_after;
+    }
+    Ok(items)
+}
