--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -20,7 +20,7 @@
 /// stalled connection is detected.
 const WATCH_TIMEOUT: Millis = Millis(1_000);
 /// Delay of the first watcher after a watch returned changes. The next call then returns several.
-const FIRST_WATCHER_DELAY: Duration = Duration::from_millis(80);
+const FIRST_WATCHER_DELAY: Duration = Duration::from_millis(160);
 /// The same delay of the other watchers. Longer, because they receive most changes from the first
 /// one and watch in case that fails.
 const OTHER_WATCHER_DELAY: Duration = Duration::from_millis(400);
