Count a read of pages that may be old as of its oldest page; survey without homes

Cause: a stale page can be older than the first one. The replica then counted as complete up to the first page's revision: a server that left between the two was used again and no later change removed it. Also, a setting of no homes left no place for health checkers, whose count ran below zero. Change: the oldest page decides; each data centre keeps a place for its health checker.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -272,7 +272,8 @@
     pub fn survey(&mut self, now: MonoTime, home_count: usize) -> FleetSurvey {
         self.drop_unregistered(now);
         let is_relayed = self.member_count() > DIRECT_MEMBERS_MAX;
-        let centre_homes = home_count.div_ceil(self.centres.len().max(1));
+        // At least the health checker.
+        let centre_homes = home_count.div_ceil(self.centres.len().max(1)).max(1);
         let per_centre =
             if is_relayed { centre_homes.max(RELAYS_PER_CENTRE) } else { centre_homes };
         let mut walk = SurveyWalk::new(now, per_centre, &self.centres);
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -69,6 +69,12 @@
     }
 }
 
+#[test]
+fn a_fleet_set_to_no_homes_still_has_health_checkers() {
+    let survey = table().survey(at(0), 0);
+    assert_eq!((survey.homes.len(), survey.health_checkers.len()), (0, DATA_CENTRES.len()));
+}
+
 #[test]
 fn an_unresponsive_home_is_replaced_until_its_next_heartbeat() {
     let mut table = table();
--- a/crates/store/src/replicated.rs
+++ b/crates/store/src/replicated.rs
@@ -23,8 +23,8 @@
 /// All items or all changes up to a revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreItems {
-    /// For a watch, the last revision included. For a read, the revision before the first page was
-    /// read; items of later pages may be newer.
+    /// For a watch, the last revision included. For a read, the oldest revision of a page; items of
+    /// other pages may be newer.
     pub as_of: StoreRevision,
     /// The items read, or those that changed.
     pub items: Vec<ItemState>,
@@ -83,8 +83,17 @@
     fn put_all(&self, writes: Vec<ItemWrite>, lease: LeaseId) -> StoreCall<'_, StoreRevision>;
 }
 
-/// Reads all items, page by page. The returned revision is that of the first page: a watch from there
-/// also returns the changes made while later pages were read.
+impl StoreItems {
+    /// Adds the items of the next page. The revision becomes the lower of both: pages that may be old
+    /// can differ in age, and changes after the oldest may be missing.
+    pub fn add_page(&mut self, page: Self) {
+        self.as_of = self.as_of.min(page.as_of);
+        self.items.extend(page.items);
+    }
+}
+
+/// Reads all items, page by page. A watch from the returned revision also returns the changes made
+/// while pages were read.
 ///
 /// # Errors
 /// A page could not be read.
@@ -96,7 +105,7 @@
         store.read_page(SmolStr::default(), freshness).await?;
     while let Some(after) = next_after {
         let page = store.read_page(after, freshness).await?;
-        items.items.extend(page.items.items);
+        items.add_page(page.items);
         next_after = page.next_after;
     }
     Ok(items)
