--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -57,7 +57,7 @@
 cases! { check_endless {
     endless_head: ("endless-head", &[502]);
     endless_header_field: ("endless-field", &[502]);
-    endless_informational_heads: ("endless-informational", &[502, 504]);
+    endless_informational_heads: ("endless-informational", &[502]);
     endless_body: ("endless-body", &[502, 504]);
     endless_chunks: ("endless-chunks", &[502, 504]);
     endless_trailers: ("endless-trailers", &[502, 504]);
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -26,6 +26,8 @@
     Broken(hyper::Error),
     /// No complete response arrived before the deadline.
     ResponseTimeout,
+    /// More informational (1xx) heads arrived than any server sends before a response.
+    InformationalFlood,
     /// The response body is longer than the limit.
     ResponseTooLong,
     /// The memory for response bodies in progress is used up.
@@ -44,6 +46,7 @@
             | Self::ClosedBeforeRequest => SendState::NotSent,
             Self::Broken(_)
             | Self::ResponseTimeout
+            | Self::InformationalFlood
             | Self::ResponseTooLong
             | Self::ResponseMemory
             | Self::ResponseUnframed => SendState::MaybeSent,
@@ -64,6 +67,9 @@
                 write!(f, "exchange failed after sending began: {cause}")
             }
             Self::ResponseTimeout => f.write_str("timed out waiting for a complete response"),
+            Self::InformationalFlood => {
+                f.write_str("too many informational heads before a response")
+            }
             Self::ResponseTooLong => f.write_str("response body exceeds the length limit"),
             Self::ResponseMemory => f.write_str("memory for response bodies is used up"),
             Self::ResponseUnframed => {
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -7,12 +7,15 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Which connections an exchange may use. A new one is opened if no idle one qualifies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,6 +35,11 @@
 /// the transit time of a request, which the server might otherwise receive after it closed.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Informational (1xx) heads that a server may send before its response.
+const INFORMATIONAL_MAX: usize = 8;
+/// Longest head of a response, and most bytes read at a time. It bounds the time for which one
+/// connection keeps the thread.
+const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Default budget in bytes for response bodies while they are read.
 const BODY_MEMORY_DEFAULT: usize = 64 * 1024 * 1024;
 
@@ -169,8 +177,13 @@
                 Some(sender) => sender,
                 None => self.open(address, deadline).await?,
             };
-            let sent = sender.try_send_request(request);
-            let response = match tokio::time::timeout_at(deadline.into(), sent).await {
+            let flood = detect_flood(&mut request);
+            let sent = tokio::time::timeout_at(deadline.into(), sender.try_send_request(request));
+            let sent = tokio::select! {
+                sent = sent => sent,
+                () = flood.notified() => return Err(LinkError::InformationalFlood),
+            };
+            let response = match sent {
                 Err(_) => {
                     self.invalidate_before(address, started);
                     return Err(LinkError::ResponseTimeout);
@@ -296,7 +309,8 @@
             Ok(Ok(stream)) => stream,
         };
         stream.set_nodelay(true).map_err(LinkError::Connect)?;
-        let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
+        let builder = Builder::new().max_buf_size(READ_BUFFER_MAX_BYTES).clone();
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| LinkError::ClosedBeforeRequest)?;
         tokio::spawn(async move {
             // Errors are reported by the exchange. The guard counts the connection as open until here.
@@ -337,6 +351,19 @@
     }
 }
 
+/// Returns what is notified once the server has sent more informational heads than it may. Without
+/// that the parser would go on with them until the deadline, and little else on this thread would run.
+fn detect_flood(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let flood = Arc::new(Notify::new());
+    let (notified, heads) = (Arc::clone(&flood), AtomicUsize::new(0));
+    on_informational(request, move |_| {
+        if heads.fetch_add(1, Ordering::Relaxed) >= INFORMATIONAL_MAX {
+            notified.notify_one();
+        }
+    });
+    flood
+}
+
 fn body_error(cause: BodyError<hyper::Error>) -> LinkError {
     match cause {
         BodyError::TooLong => LinkError::ResponseTooLong,
