Send heartbeats also to relays that count as unresponsive

Callers of two data centres were directed to weak instances, which nobody sent load reports: 1,100 requests of the first 17 s took twice as long, 84 were refused. Change: the members from which heartbeats are expected receive them, usable or not. Test: fleet members, a_relay_sends_heartbeats_to_those_that_count_as_unresponsive.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -6,6 +6,7 @@
 use crate::record::MemberRecord;
 use model::{DataCentre, IncarnationId, InstanceName, Millis, MonoTime, StoreRevision};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time without a heartbeat after which an instance that should send them counts as unresponsive.
@@ -63,6 +64,10 @@
     pub relays: Vec<MemberRecord>,
     /// Members that relay heartbeats to the rest of their data centre; empty in a small fleet.
     pub centre_relays: Vec<MemberRecord>,
+    /// Datagram addresses of the members to which relays send their heartbeats. Members that count as
+    /// unresponsive are among them: if two relays left each other out, neither would ever hear of
+    /// the other again.
+    pub heartbeat_targets: Vec<SocketAddr>,
     /// Number of usable members before this instance in rank order. Exact for the first members
     /// only.
     pub rank: usize,
@@ -294,12 +299,21 @@
                 relays.push(home.clone());
             }
         }
+        let expected = walk.expected.iter().filter_map(|place| self.members.get(place));
+        let mut heartbeat_targets: Vec<SocketAddr> =
+            expected.map(|state| state.record.datagram_address).collect();
+        for relay in relays.iter().filter(|relay| relay.name != self.this.name) {
+            if !heartbeat_targets.contains(&relay.datagram_address) {
+                heartbeat_targets.push(relay.datagram_address);
+            }
+        }
         let centre_relays = if is_relayed { RELAYS_PER_CENTRE } else { 0 };
         let survey = FleetSurvey {
             health_checkers: cloned(first_of_each_centre(&usable, 1)),
             centre_relays: cloned(first_of_each_centre(&usable, centre_relays)),
             homes,
             relays,
+            heartbeat_targets,
             rank: walk.rank.unwrap_or(walk.usable.len()),
         };
         for place in self.expected.difference(&walk.expected) {
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -247,6 +247,25 @@
     assert!(elsewhere.iter().all(|name| ["m0", "m1", "m3", "m4"].contains(&name.as_str())));
 }
 
+/// Two homes that each counted the other as unresponsive no longer sent each other heartbeats, and so
+/// stayed apart; callers of one were directed to other instances than callers of the other.
+#[test]
+fn a_relay_sends_heartbeats_to_those_that_count_as_unresponsive() {
+    let mut table = MemberTable::new(MemberRecord { capacity: 1_000_000, ..record(0) });
+    table.set_ready(true);
+    for index in 1..60 {
+        let capacity = if index < 6 { 1_000_000 } else { 1 };
+        table.register(MemberRecord { capacity, ..record(index) });
+    }
+    table.survey(at(0), 6);
+    let survey = table.survey(at(2_000), 6);
+    assert!(!survey.homes.iter().any(|home| home.name == record(1).name));
+    for index in 1..6 {
+        assert!(survey.heartbeat_targets.contains(&record(index).datagram_address), "{index}");
+    }
+    assert!(!survey.heartbeat_targets.contains(&record(0).datagram_address));
+}
+
 /// An instance that becomes a relay receives heartbeats only from then on.
 #[test]
 fn a_new_relay_waits_for_heartbeats_before_it_counts_others_as_unresponsive() {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -211,9 +211,7 @@
         if self.survey.centre_relays.is_empty() {
             return self.members.others().map(|record| record.datagram_address).collect();
         }
-        let this = &self.members.this().name;
-        let others = self.survey.relays.iter().filter(|relay| relay.name != *this);
-        others.map(|relay| relay.datagram_address).collect()
+        self.survey.heartbeat_targets.clone()
     }
 
     /// Datagram addresses of the instances to which this one passes on heartbeats.
