Relay all changes of a batch, not only those new to the watcher

Change: the batch is taken from the replica's history. Test: fleet replica, changes_for_others_include_those_that_a_snapshot_had_ahead (the history had them; the watcher now uses it).

--- a/crates/fleet/tests/replica.rs
+++ b/crates/fleet/tests/replica.rs
@@ -230,6 +230,25 @@
     assert_eq!(replica.changes_after(StoreRevision(9)), None);
 }
 
+/// A watcher had read the records of 32 members with a snapshot that was otherwise older. It relayed the
+/// changes that were new to itself as if they were all, and seven instances never knew those members.
+#[test]
+fn changes_for_others_include_those_that_a_snapshot_had_ahead() {
+    let mut replica = StoreReplica::default();
+    replica.apply_snapshot(StoreRevision(58), vec![change("member", Some("m"), 61)]);
+    let watched = vec![
+        change("a", Some("1"), 59),
+        change("member", Some("m"), 61),
+        change("b", Some("2"), 62),
+    ];
+    let applied = replica.apply_changes(StoreRevision(58), StoreRevision(62), watched);
+    assert_eq!(applied.map(|applied| applied.len()), Ok(2));
+    let mut relayed = replica.changes_after(StoreRevision(58)).expect("known one by one");
+    relayed.sort_by_key(|change| change.revision);
+    let revisions: Vec<u64> = relayed.iter().map(|change| change.revision.0).collect();
+    assert_eq!(revisions, [59, 61, 62]);
+}
+
 #[test]
 fn an_instance_that_others_pull_from_keeps_more_changes() {
     let mut kept = [false, true].map(|is_pulled_from| {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -209,7 +209,7 @@
     let applied = state.fleet().replica.apply_snapshot(as_of, items);
     if freshness == ReadFreshness::MayBeOld {
         apply_first_snapshot(state, &applied);
-    } else if let Some(batch) = apply_confirmed_changes(state, after, as_of, applied) {
+    } else if let Some(batch) = apply_confirmed_changes(state, after, as_of, &applied) {
         send_snapshot_changes(state, batch);
     }
     Ok(())
@@ -236,7 +236,7 @@
     let Ok(applied) = applied else {
         return Ok(false);
     };
-    if let Some(batch) = apply_confirmed_changes(state, after, as_of, applied) {
+    if let Some(batch) = apply_confirmed_changes(state, after, as_of, &applied) {
         send_watched_changes(state, batch);
     }
     if !is_empty {
@@ -259,19 +259,21 @@
 }
 
 /// Applies changes that this instance received from the store itself. Returns the batch to relay, if
-/// there are any.
+/// any of them were new. The batch has all changes after `after`, not only the new ones: this
+/// instance may have read some with a snapshot that others did not read.
 fn apply_confirmed_changes(
     state: &Rc<GatewayState>,
     after: StoreRevision,
     as_of: StoreRevision,
-    applied: Vec<StoreChange>,
+    applied: &[StoreChange],
 ) -> Option<ChangeBatch> {
     state.fleet().confirm(state.now(), as_of, Duration::ZERO);
     if applied.is_empty() {
         return None;
     }
-    apply_records(state, &applied);
-    Some(ChangeBatch { after, as_of, confirmed_age: Millis(0), changes: applied })
+    apply_records(state, applied);
+    let changes = state.fleet_ref().replica.changes_after(after)?;
+    Some(ChangeBatch { after, as_of, confirmed_age: Millis(0), changes })
 }
 
 /// Fetches changes beyond the replica from other instances, or from the seeds if there is no
