--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -5,33 +5,18 @@
 use crate::state::GatewayState;
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use link::{BodyError, HeldBytes, read_body};
 use model::Millis;
 use routing::{RouteEntry, RouteTable};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Share of the instance's memory that bodies of requests in progress may use.
-const BODY_MEMORY_SHARE: f64 = 0.25;
 /// `Retry-After` when the memory for bodies is used up.
 const BODY_MEMORY_RETRY_AFTER: Millis = Millis(200);
 /// Longest time to the deadline; longer values in the deadline header are cut to it.
 const DEADLINE_MAX: Duration = Duration::from_secs(120);
 
-/// The size of one body, counted in [`GatewayState::body_bytes`] until dropped.
-struct BodyMemory {
-    state: Rc<GatewayState>,
-    bytes: usize,
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        let used = self.state.body_bytes.get();
-        self.state.body_bytes.set(used.saturating_sub(self.bytes));
-    }
-}
-
 /// Handles a request of a caller: serves or rejects it.
 pub(crate) async fn handle_caller(
     state: Rc<GatewayState>,
@@ -79,7 +64,7 @@
 async fn accept_request(
     state: &Rc<GatewayState>,
     request: Request<Incoming>,
-) -> Result<(RoutedRequest, BodyMemory), RequestRejection> {
+) -> Result<(RoutedRequest, HeldBytes), RequestRejection> {
     let arrived = state.now();
     let table = state.table().ok_or_else(RequestRejection::no_config)?;
     let route = find_route(&table, &request)?;
@@ -105,7 +90,8 @@
     let receive_until = state.clock.instant_of(deadline);
     let limit = table.limits.body_bytes;
     let (body, memory) =
-        match tokio::time::timeout_at(receive_until.into(), read_body(state, body, limit)).await {
+        match tokio::time::timeout_at(receive_until.into(), receive_body(state, body, limit)).await
+        {
             Ok(read) => read?,
             Err(_) => {
                 return Err(RequestRejection::new(
@@ -134,35 +120,28 @@
     Ok((RoutedRequest { outbound, route, service, arrived, version: table.version }, memory))
 }
 
-async fn read_body(
-    state: &Rc<GatewayState>,
+async fn receive_body(
+    state: &GatewayState,
     body: Incoming,
     limit: usize,
-) -> Result<(Bytes, BodyMemory), RequestRejection> {
-    let length_min = body.size_hint().lower();
-    if length_min > limit as u64 {
-        return Err(RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"));
-    }
-    let memory_max =
-        (state.settings().memory_mb as f64 * 1024.0 * 1024.0 * BODY_MEMORY_SHARE) as usize;
-    let mut memory = BodyMemory { state: Rc::clone(state), bytes: 0 };
-    if state.body_bytes.get().saturating_add(usize::try_from(length_min).unwrap_or(usize::MAX))
-        > memory_max
-    {
+) -> Result<(Bytes, HeldBytes), RequestRejection> {
+    let no_memory = || {
         let text = "memory for request bodies is used up";
-        return Err(RequestRejection::unavailable(text, BODY_MEMORY_RETRY_AFTER));
+        RequestRejection::unavailable(text, BODY_MEMORY_RETRY_AFTER)
+    };
+    let too_long = || RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long");
+    let length_min = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if length_min > limit {
+        return Err(too_long());
     }
-    let memory_left = memory_max - state.body_bytes.get();
-    match Limited::new(body, limit.min(memory_left)).collect().await {
-        Ok(collected) => {
-            let body = collected.to_bytes();
-            memory.bytes = body.len();
-            state.body_bytes.set(state.body_bytes.get() + body.len());
-            Ok((body, memory))
-        }
-        Err(cause) if cause.is::<LengthLimitError>() => {
-            Err(RequestRejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long"))
-        }
-        Err(_) => Err(RequestRejection::new(StatusCode::BAD_REQUEST, "request body is malformed")),
+    if !state.request_bodies.has_room(length_min) {
+        return Err(no_memory());
     }
+    read_body(body, limit, &state.request_bodies).await.map_err(|cause| match cause {
+        BodyError::TooLong => too_long(),
+        BodyError::BudgetUsedUp => no_memory(),
+        BodyError::Broken(_) => {
+            RequestRejection::new(StatusCode::BAD_REQUEST, "request body is malformed")
+        }
+    })
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,7 @@
 use crate::settings_file::GatewaySettings;
 use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, RequestQueue};
 use fleet::{MemberRegistrar, PullBackoff, RecordDecoder, SnapshotQuota};
-use link::{LinkPool, LinkPoolBuilder};
+use link::{BodyBudget, LinkPool, LinkPoolBuilder};
 use model::{IncarnationId, InstanceName, MonoTime, ProcessClock};
 use routing::{RouteTable, SplitCursor};
 use std::cell::{Cell, Ref, RefCell, RefMut};
@@ -24,12 +24,21 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest accepted response of a backend server, in bytes.
 const RESPONSE_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Share of the instance's memory that bodies of requests in progress may use.
+const REQUEST_BODY_SHARE: f64 = 0.25;
+/// Share of the instance's memory that response bodies may use while they are read.
+const RESPONSE_BODY_SHARE: f64 = 0.2;
 /// Idle time after which a connection to a backend server is closed. Shorter than the servers' own
 /// idle timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Open connections to one backend server. Low, because the server's limit covers all instances.
 const SERVER_CONNECTIONS_MAX: usize = 40;
 
+/// Returns a share of the instance's memory, in bytes.
+fn memory_share(settings: &GatewaySettings, share: f64) -> usize {
+    (settings.memory_mb as f64 * 1024.0 * 1024.0 * share) as usize
+}
+
 /// Decodes the platform's store records.
 pub(crate) type GatewayDecoder = Rc<dyn RecordDecoder<Config = RouteTable>>;
 
@@ -70,8 +79,8 @@
     /// The configuration in force; `None` until the first one is read.
     pub table: RefCell<Option<Rc<RouteTable>>>,
     pub phase: Cell<RunPhase>,
-    /// Bytes of request bodies in progress.
-    pub body_bytes: Cell<usize>,
+    /// Memory for the bodies of requests in progress.
+    pub request_bodies: BodyBudget,
     /// Open connections of callers.
     pub connections: Cell<usize>,
     /// Records of instances that this one registers in the store.
@@ -111,6 +120,7 @@
             .response_limit(RESPONSE_MAX_BYTES)
             .connection_limit(SERVER_CONNECTIONS_MAX)
             .accepts_unframed(true)
+            .body_memory(memory_share(&settings, RESPONSE_BODY_SHARE))
             .build();
         let policy = QueuePolicy {
             data_centre: settings.data_centre.clone(),
@@ -137,7 +147,7 @@
             splits: RefCell::default(),
             table: RefCell::default(),
             phase: Cell::new(RunPhase::Running),
-            body_bytes: Cell::new(0),
+            request_bodies: BodyBudget::new(memory_share(&settings, REQUEST_BODY_SHARE)),
             connections: Cell::new(0),
             registrar: RefCell::default(),
             pull_backoff: RefCell::default(),
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -39,6 +39,55 @@
     extra_response_after_it: ("extra", 200, 1);
 } }
 
+/// A server sends bytes without end that are no answer. The caller gets a truthful status, the
+/// connection is closed, and the instance serves on.
+fn check_endless(step: &str, statuses: &[u16]) {
+    let (_store, server, instance) = start_with_server();
+    let response = call_work(&instance, step, "id-1");
+    assert!(statuses.contains(&response.status), "{response:?}");
+    assert_eq!(response.header("t-signature"), None);
+    assert_eq!(server.ran(), ["id-1"]);
+    wait_until("the connection is closed", || {
+        server.record.lock().expect("record").disconnected == 1
+    });
+    assert_eq!(call_work(&instance, "ok", "id-2").status, 200);
+    instance.close();
+}
+
+cases! { check_endless {
+    endless_head: ("endless-head", &[502]);
+    endless_header_field: ("endless-field", &[502]);
+    endless_informational_heads: ("endless-informational", &[502, 504]);
+    endless_body: ("endless-body", &[502, 504]);
+    endless_chunks: ("endless-chunks", &[502, 504]);
+    endless_trailers: ("endless-trailers", &[502, 504]);
+    endless_garbage: ("endless-garbage", &[502]);
+    body_that_dribbles: ("dribbling-body", &[504]);
+} }
+
+#[test]
+fn many_endless_bodies_at_once_leave_the_instance_serving() {
+    let (_store, server, instance) = start_with_server();
+    let calls: Vec<_> = (0..12)
+        .map(|index| {
+            let callers = instance.callers;
+            std::thread::spawn(move || {
+                call(callers, "POST", "/work/endless-body/", &format!("id-{index}")).status
+            })
+        })
+        .collect();
+    for endless in calls {
+        let status = endless.join().expect("joined");
+        assert!([502, 503, 504].contains(&status), "{status}");
+    }
+    let ran = server.ran().len();
+    wait_until("all connections are closed", || {
+        server.record.lock().expect("record").disconnected == ran
+    });
+    assert_eq!(call_work(&instance, "ok", "id-last").status, 200);
+    instance.close();
+}
+
 #[test]
 fn a_response_delimited_by_connection_close_is_complete() {
     let (_store, _server, instance) = start_with_server();
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -28,6 +28,8 @@
     ResponseTimeout,
     /// The response body is longer than the limit.
     ResponseTooLong,
+    /// The memory for response bodies in progress is used up.
+    ResponseMemory,
     /// The response has neither a length nor chunked encoding, so a truncated body would go unnoticed.
     ResponseUnframed,
 }
@@ -43,6 +45,7 @@
             Self::Broken(_)
             | Self::ResponseTimeout
             | Self::ResponseTooLong
+            | Self::ResponseMemory
             | Self::ResponseUnframed => SendState::MaybeSent,
         }
     }
@@ -62,6 +65,7 @@
             }
             Self::ResponseTimeout => f.write_str("timed out waiting for a complete response"),
             Self::ResponseTooLong => f.write_str("response body exceeds the length limit"),
+            Self::ResponseMemory => f.write_str("memory for response bodies is used up"),
             Self::ResponseUnframed => {
                 f.write_str("response has neither a content length nor chunked encoding")
             }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,10 +5,12 @@
 //! response is never matched to another request. The server limits the length of request heads and
 //! shuts down without truncating responses.
 
+mod body;
 mod error;
 mod pool;
 mod server;
 
+pub use body::{BodyBudget, BodyError, HeldBytes, read_body};
 pub use error::{LinkError, SendState};
 pub use pool::{ConnectionChoice, LinkPool, LinkPoolBuilder};
 pub use server::{HttpServer, serve_http, serve_limited};
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -1,9 +1,10 @@
 //! Pool of HTTP/1.1 client connections by address.
 
+use crate::body::{BodyBudget, BodyError, read_body};
 use crate::error::LinkError;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -31,6 +32,9 @@
 /// the transit time of a request, which the server might otherwise receive after it closed.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Default budget in bytes for response bodies while they are read.
+const BODY_MEMORY_DEFAULT: usize = 64 * 1024 * 1024;
+
 /// Settings of a [`LinkPool`], and its builder.
 #[derive(Debug, Clone)]
 pub struct LinkPoolBuilder {
@@ -39,6 +43,7 @@
     response_limit: usize,
     connection_limit: usize,
     accepts_unframed: bool,
+    body_budget: BodyBudget,
 }
 
 impl Default for LinkPoolBuilder {
@@ -49,6 +54,7 @@
             response_limit: 4 * 1024 * 1024,
             connection_limit: 240,
             accepts_unframed: false,
+            body_budget: BodyBudget::new(BODY_MEMORY_DEFAULT),
         }
     }
 }
@@ -73,6 +79,12 @@
         self
     }
 
+    /// Sets the budget in bytes for all response bodies while they are read.
+    pub fn body_memory(mut self, limit: usize) -> Self {
+        self.body_budget = BodyBudget::new(limit);
+        self
+    }
+
     /// Sets the maximum number of open connections to one address.
     pub fn connection_limit(mut self, limit: usize) -> Self {
         self.connection_limit = limit;
@@ -191,14 +203,13 @@
         if !is_framed && !self.settings.accepts_unframed {
             return Err(LinkError::ResponseUnframed);
         }
-        let limited = Limited::new(body, self.settings.response_limit).collect();
-        let body = match tokio::time::timeout_at(deadline.into(), limited).await {
+        let reading = read_body(body, self.settings.response_limit, &self.settings.body_budget);
+        let (body, _held) = match tokio::time::timeout_at(deadline.into(), reading).await {
             Err(_) => {
                 self.invalidate_before(address, started);
                 return Err(LinkError::ResponseTimeout);
             }
-            Ok(Err(cause)) => return Err(body_error(cause)),
-            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(read) => read.map_err(body_error)?,
         };
         if is_framed {
             let idle_timeout = self.idle_timeout_of(&parts.headers);
@@ -326,10 +337,10 @@
     }
 }
 
-fn body_error(cause: Box<dyn std::error::Error + Send + Sync>) -> LinkError {
-    match cause.downcast::<hyper::Error>() {
-        Ok(cause) => LinkError::Broken(*cause),
-        Err(cause) if cause.is::<LengthLimitError>() => LinkError::ResponseTooLong,
-        Err(_) => LinkError::ResponseUnframed,
+fn body_error(cause: BodyError<hyper::Error>) -> LinkError {
+    match cause {
+        BodyError::TooLong => LinkError::ResponseTooLong,
+        BodyError::BudgetUsedUp => LinkError::ResponseMemory,
+        BodyError::Broken(cause) => LinkError::Broken(cause),
     }
 }
