--- a/review/standin.rs
+++ b/review/standin.rs
@@ -736,6 +736,7 @@
 
 include!("stop_case.rs");
 include!("split_case.rs");
+include!("entry_case.rs");
 
 /// Runs `standin CASE RECORD FOLDER`: a case, the file that records it, and a folder for settings and logs.
 fn main() {
@@ -748,6 +749,7 @@
     let code = match case.as_str() {
         "stop" => stop_case(&folder, &record),
         "split" => split_case(&folder, &record),
+        "entry" => entry_case(&folder, &record),
         _ => 2,
     };
     std::process::exit(code);
