Review, case 2: a spoiled load figure stops an instance for good

Seen: after one answer with 9e99 in the load header, an instance closes every request without an answer, and the requests in its queue are never answered, while it says that it is ready.

At fault: `load_report` in platform/src/conventions.rs accepts any finite number, and `ExpectedFinish::place` in crates/balance/src/placement.rs panics on a duration that is too large.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 5 110 target/review/standin stop review/2/record.txt "$folder"
+timeout -k 5 110 target/review/standin spoiled review/2/record.txt "$folder"
 code=$?
 # The case ends its gateways itself; this is for a case that was cut short.
 if [ "$code" -ne 0 ] && [ "$code" -ne 1 ] && [ -f "$folder/pids" ]; then
--- a/review/entry_case.rs
+++ b/review/entry_case.rs
@@ -61,11 +61,18 @@
     for thread in threads {
         let _ = thread.join();
     }
-    let samples = samples.lock().unwrap();
+    judge_late(&samples.lock().unwrap(), &gateways, record)
+}
+
+/// Judges requests, each with the time to its end and whether it was answered.
+fn judge_late(samples: &[(Duration, bool)], gateways: &[Gateway], record: &Record) -> i32 {
     let late = samples.iter().filter(|(took, _)| *took > ENTRY_TIMEOUT).count();
     let limit = ENTRY_TIMEOUT + ANSWER_SLACK;
     let unanswered =
-        samples.iter().filter(|(took, is_answered)| *took > limit || (!is_answered && *took > ENTRY_TIMEOUT)).count();
+        samples
+        .iter()
+        .filter(|(took, is_answered)| *took > limit || (!is_answered && *took > ENTRY_TIMEOUT))
+        .count();
     let ready = gateways.iter().filter(|gateway| gateway.is_ready()).count();
     let answered = samples.iter().filter(|(_, is_answered)| *is_answered).count();
     let is_broken = late >= LATE_MIN && unanswered * 2 > late;
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -645,6 +645,8 @@
     arrived: Arc<Mutex<Vec<String>>>,
     /// Ids of the requests that began to run.
     ran: Arc<Mutex<Vec<String>>>,
+    /// Set to spoil the load figure of the next answer to a request.
+    pub spoils_next: Arc<AtomicBool>,
 }
 
 impl SoundServer {
@@ -660,6 +662,8 @@
         let (arrived, ran) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
         let load = Arc::new((Mutex::new((0_u32, 0_u32)), Condvar::new()));
         let (server, record) = (name.to_owned(), record.clone());
+        let spoils_next = Arc::new(AtomicBool::new(false));
+        let shared_spoils = Arc::clone(&spoils_next);
         let (shared_arrived, shared_ran) = (Arc::clone(&arrived), Arc::clone(&ran));
         let address = start_server(Arc::new(move |request, stream| {
             let report = |load: &(u32, u32)| format!("{},{},{slots},100", load.0, load.1);
@@ -692,11 +696,15 @@
             shared_ran.lock().unwrap().push(id.clone());
             record.line(&format!("{server} runs {id}"));
             std::thread::sleep(work);
-            let text = {
+            let mut text = {
                 let mut now = load.0.lock().unwrap();
                 now.0 -= 1;
                 report(&now)
             };
+            if shared_spoils.swap(false, Ordering::Relaxed) {
+                text = text.replace(",100", ",9e99");
+                record.line(&format!("{server} spoils the load figure of its answer to {id}: {text}"));
+            }
             load.1.notify_one();
             let headers = [
                 ("X-Lacewingshelf-Request-Id", id.as_str()),
@@ -706,7 +714,7 @@
             write_response(stream, "200 OK", &headers, b"answer of the server\n")?;
             Ok(true)
         }));
-        Self { name: name.to_owned(), address, arrived, ran }
+        Self { name: name.to_owned(), address, arrived, ran, spoils_next }
     }
 }
 
@@ -737,6 +745,7 @@
 include!("stop_case.rs");
 include!("split_case.rs");
 include!("entry_case.rs");
+include!("spoiled_case.rs");
 
 /// Runs `standin CASE RECORD FOLDER`: a case, the file that records it, and a folder for settings and logs.
 fn main() {
@@ -750,6 +759,7 @@
         "stop" => stop_case(&folder, &record),
         "split" => split_case(&folder, &record),
         "entry" => entry_case(&folder, &record),
+        "spoiled" => spoiled_case(&folder, &record),
         _ => 2,
     };
     std::process::exit(code);
