Review: case 4 judged by route, scripts that are cut short end their processes

The rule of case 4 speaks of the parts of one split in 200 requests or more; the script judged ten routes together. It now judges each of eight routes by itself. `run.sh` ends the gateways and its own timer also when it gets a signal, and no longer signals ids of processes that have ended.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,13 +3,32 @@
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
-timeout -k 5 110 target/review/standin spoiled review/2/record.txt "$folder"
+case_pid=
+watch_pid=
+
+# The case ends its gateways itself; this is for one that was cut short.
+clean_up() {
+    [ -n "$watch_pid" ] && kill "$watch_pid" 2>/dev/null
+    [ -n "$case_pid" ] && kill -KILL "$case_pid" 2>/dev/null
+    [ -f "$folder/pids" ] && xargs kill -KILL <"$folder/pids" 2>/dev/null
+    rm -rf "$folder"
+}
+trap 'clean_up; exit 2' INT TERM HUP
+
+target/review/standin spoiled review/2/record.txt "$folder" &
+case_pid=$!
+# Ends a case that hangs, within the 120 seconds that a script may take.
+(
+    trap 'kill "$!"; exit' TERM
+    sleep 105 &
+    wait
+    kill -KILL "$case_pid"
+) 2>/dev/null &
+watch_pid=$!
+wait "$case_pid"
 code=$?
-# The case ends its gateways itself; this is for a case that was cut short.
-if [ "$code" -ne 0 ] && [ "$code" -ne 1 ] && [ -f "$folder/pids" ]; then
-    xargs kill -KILL <"$folder/pids" 2>/dev/null
-fi
-rm -rf "$folder"
+case_pid=
+clean_up
 case $code in
 0 | 1) exit "$code" ;;
 *) exit 2 ;;
--- a/review/split_case.rs
+++ b/review/split_case.rs
@@ -1,6 +1,8 @@
 // A change of the weights of split routes.
 
-const ROUTES: usize = 10;
+const ROUTES: usize = 8;
+/// Fewest requests of a route from which its shares are judged.
+const REQUESTS_MIN: usize = 200;
 
 fn split_config(version: u64, stable: &str, canary: &str) -> String {
     let routes: Vec<String> = (0..ROUTES)
@@ -21,7 +23,7 @@
     )
 }
 
-/// Exits with 1 if a part's share lies more than 0.2 off its weight's.
+/// Exits with 1 if, on a route with enough requests, a part's share lies more than 0.2 off its weight's.
 fn split_case(folder: &PathBuf, record: &Record) -> i32 {
     const APPLY_S: f64 = 2.0;
     const STABLE_S: f64 = 3.0;
@@ -49,8 +51,8 @@
     let mut random = Random::new();
     let mut measured = Vec::new();
     let mut threads = Vec::new();
-    while start.elapsed() < Duration::from_secs(24) {
-        let due = start + Duration::from_millis(25 * sent);
+    while start.elapsed() < Duration::from_secs(32) {
+        let due = start + Duration::from_millis(10 * sent);
         std::thread::sleep(due.saturating_duration_since(Instant::now()));
         if changed_at.is_none() && start.elapsed() > Duration::from_secs(6) {
             changed_at = Some(Instant::now());
@@ -61,11 +63,12 @@
         }
         let id = new_id();
         let since = changed_at.map_or(0.0, |at: Instant| at.elapsed().as_secs_f64());
+        let route = random.below(ROUTES);
         if since > APPLY_S + STABLE_S {
-            measured.push(id.clone());
+            measured.push((route, id.clone()));
         }
         let address = addresses[random.below(addresses.len())];
-        let path = format!("/lohu{}/2f", random.below(ROUTES));
+        let path = format!("/lohu{route}/2f");
         let record = record.clone();
         threads.push(std::thread::spawn(move || {
             record.line(&format!("{id} sent to {address} {path}"));
@@ -77,22 +80,35 @@
     for thread in threads {
         let _ = thread.join();
     }
-    let count = |servers: &[SoundServer]| {
-        let ran: Vec<String> = servers.iter().flat_map(SoundServer::runs).collect();
-        measured.iter().filter(|id| ran.contains(id)).count()
+    let ids = |servers: &[SoundServer]| -> std::collections::HashSet<String> {
+        servers.iter().flat_map(SoundServer::runs).collect()
     };
-    let (stable_count, canary_count) = (count(&stable), count(&canary));
-    let total = (stable_count + canary_count).max(1) as f64;
-    let share = canary_count as f64 / total;
+    let (stable_ids, canary_ids) = (ids(&stable), ids(&canary));
     let weight = if has_trouble() { 0.01 } else { 0.1 };
-    let is_broken = (share - weight).abs() > SHARE_OFF_MAX;
+    let mut shares = Vec::new();
+    for route in 0..ROUTES {
+        let of_route: Vec<&String> =
+            measured.iter().filter(|(of, _)| *of == route).map(|(_, id)| id).collect();
+        let canary_count = of_route.iter().filter(|id| canary_ids.contains(**id)).count();
+        let count = canary_count + of_route.iter().filter(|id| stable_ids.contains(**id)).count();
+        if count >= REQUESTS_MIN {
+            shares.push((route, count, canary_count as f64 / count as f64));
+        }
+    }
+    let broken = shares.iter().filter(|(_, _, share)| (share - weight).abs() > SHARE_OFF_MAX).count();
+    let list: Vec<String> = shares
+        .iter()
+        .map(|(route, count, share)| format!("{share:.2} of {count} on route {route}"))
+        .collect();
     let text = format!(
-        "of {total} requests sent over {} s after the acknowledgement, the second service ran {canary_count}: \
-         share {share:.2}, by its weight {weight}; rule {}",
+        "sent over {} s after the acknowledgement, share of the second service ({weight} by its weight): {}; \
+         {broken} of {} routes off; rule {}",
         APPLY_S + STABLE_S,
-        if is_broken { "broken" } else { "held" }
+        list.join(", "),
+        shares.len(),
+        if broken > 0 { "broken" } else { "held" }
     );
     record.line(&text);
     println!("{text}");
-    if total < 200.0 { 2 } else { i32::from(is_broken) }
+    if shares.is_empty() { 2 } else { i32::from(broken > 0) }
 }
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -762,5 +762,7 @@
         "spoiled" => spoiled_case(&folder, &record),
         _ => 2,
     };
+    // The case has ended its gateways and waited for them; `run.sh` must not signal their ids.
+    let _ = std::fs::remove_file(folder.join("pids"));
     std::process::exit(code);
 }
