--- a/crates/balance/src/contention.rs
+++ b/crates/balance/src/contention.rs
@@ -64,18 +64,28 @@
     }
 
     /// Returns the number of slots of a server that are worth using: the most that still give
-    /// nearly its highest throughput.
+    /// nearly its highest throughput. Takes the same time for any number of slots: within a level,
+    /// throughput grows with each slot, so only the last slot of each level matters.
     pub fn useful_slots(&self, slots: SlotCount) -> u32 {
-        let throughput = |count: u32| f64::from(count) / self.factor(count - 1, slots);
-        let all = slots.0.max(1);
-        let best = (1..=all).map(throughput).fold(0.0, f64::max);
-        (1..=all).rev().find(|count| throughput(*count) >= best * THROUGHPUT_RATIO_MIN).unwrap_or(1)
+        let throughput =
+            |count: u32| f64::from(count) / self.factor(count.saturating_sub(1), slots);
+        let ends = (1..=LEVEL_COUNT).map(|level| level_end(level, slots));
+        let best = ends.clone().map(throughput).fold(0.0, f64::max);
+        ends.rev().find(|count| throughput(*count) >= best * THROUGHPUT_RATIO_MIN).unwrap_or(1)
     }
 }
 
-/// Returns the occupancy level of a server with `occupancy` requests that gets one more.
+/// Returns the largest number of requests at a server that belongs to one of the levels from 1 to
+/// [`LEVEL_COUNT`]; zero if a server with so few slots has no such level.
+fn level_end(level: u32, slots: SlotCount) -> u32 {
+    let end = u64::from(slots.0.max(1)) * u64::from(level) / u64::from(LEVEL_COUNT);
+    u32::try_from(end).unwrap_or(u32::MAX)
+}
+
+/// Returns the index of the occupancy level of a server with `occupancy` requests that gets one more.
 fn level_of(occupancy: u32, slots: SlotCount) -> usize {
-    let used = (occupancy.saturating_add(1)).min(slots.0.max(1));
-    let level = (used * LEVEL_COUNT).div_ceil(slots.0.max(1)).clamp(1, LEVEL_COUNT) - 1;
+    let all = u64::from(slots.0.max(1));
+    let used = (u64::from(occupancy) + 1).min(all);
+    let level = (used * u64::from(LEVEL_COUNT)).div_ceil(all).clamp(1, LEVEL_COUNT.into()) - 1;
     usize::try_from(level).unwrap_or_default()
 }
