Entry interface: requests that wait when their queue ends are refused

Callers saw: at the stop limit of an overloaded instance, connections were closed without a response, for requests in the queue and at servers; and after a service was dropped, its waiting requests were still sent to its servers.

Change: a quarter of the stop limit before its end the queues refuse all waiting requests as not run, with the cause stopping; 200 ms before it, requests in progress get the verdict may-have-run. A dropped service loses its servers, so its waiting requests are refused.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -42,6 +42,8 @@
     QueueFull,
     /// No backend server is configured, or all are leaving.
     NoServers,
+    /// The instance stops and sends no further requests.
+    Stopping,
 }
 
 impl RefusalCause {
@@ -52,6 +54,7 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::QueueFull => "queue_full",
             Self::NoServers => "no_servers",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -115,6 +118,7 @@
     long_yield: Duration,
     long_mean_micros: f64,
     counters: QueueCounters,
+    is_stopped: bool,
 }
 
 impl ServiceQueue {
@@ -131,9 +135,18 @@
             long_yield: Duration::from_millis(500),
             long_mean_micros: 0.0,
             counters: QueueCounters::default(),
+            is_stopped: false,
         }
     }
 
+    /// Refuses all waiting requests and those that are submitted from now on.
+    pub fn stop(&mut self, now: MonoTime) -> Vec<QueueEffect> {
+        self.is_stopped = true;
+        let mut effects = Vec::new();
+        self.refuse_all(now, RefusalCause::Stopping, &mut effects);
+        effects
+    }
+
     /// Returns the counts since the queue was created.
     pub fn counters(&self) -> QueueCounters {
         self.counters
@@ -240,7 +253,7 @@
         let mut effects = Vec::new();
         self.refuse_expired(now, &mut effects);
         if !self.slots.has_servers() {
-            self.refuse_all(now, &mut effects);
+            self.refuse_all(now, RefusalCause::NoServers, &mut effects);
             return effects;
         }
         while let Some(effect) = self.dispatch_next(now) {
@@ -262,6 +275,9 @@
     }
 
     fn refusal_on_arrival(&self, now: MonoTime, request: &QueuedRequest) -> Option<RefusalCause> {
+        if self.is_stopped {
+            return Some(RefusalCause::Stopping);
+        }
         if request.deadline <= now {
             return Some(RefusalCause::DeadlinePassed);
         }
@@ -345,11 +361,11 @@
         }
     }
 
-    fn refuse_all(&mut self, now: MonoTime, effects: &mut Vec<QueueEffect>) {
+    fn refuse_all(&mut self, now: MonoTime, cause: RefusalCause, effects: &mut Vec<QueueEffect>) {
         let ids: Vec<QueueId> = self.deadlines.iter().map(|(_, id)| *id).collect();
         for id in ids {
             self.cancel(id);
-            effects.push(self.refuse(now, id, RefusalCause::NoServers));
+            effects.push(self.refuse(now, id, cause));
         }
     }
 
--- a/crates/entry/src/caller_port.rs
+++ b/crates/entry/src/caller_port.rs
@@ -4,7 +4,7 @@
 use crate::non_idempotent;
 use crate::refuse::{IdempotencyKeys, refuse_request};
 use crate::request::{CallerKey, RequestOrigin, serve_request};
-use crate::response::{RequestRefusal, lost_response};
+use crate::response::{RequestRefusal, lost_response, unknown_response};
 use crate::traffic::TrafficState;
 use axum::Router;
 use axum::body::Body;
@@ -130,7 +130,13 @@
 ) -> Response {
     let keys = read_idempotency_keys(request.headers());
     let response = match read_request(&traffic, &service, request).await {
-        Ok(call) => serve_request(&traffic, &call, RequestOrigin::Caller, keys.key).await,
+        Ok(call) => tokio::select! {
+            response = serve_request(&traffic, &call, RequestOrigin::Caller, keys.key) => response,
+            () = traffic.wait_ending() => unknown_response(
+                &traffic.settings.name,
+                "the instance stopped while the request was in progress",
+            ),
+        },
         Err(refusal) => {
             count_rejection(&traffic, &refusal);
             refuse_request(&traffic, &keys, &refusal)
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -26,6 +26,11 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum time allowed for open connections to close.
 const CLOSE_TIMEOUT_MIN: Duration = Duration::from_millis(200);
+/// Largest share of the stop limit that is reserved for requests at backend servers. Waiting requests
+/// are refused when it begins.
+const SERVER_TIME_SHARE: f64 = 0.25;
+/// Time before the stop limit at which requests in progress are answered without their outcome.
+const ANSWER_PERIOD: Duration = Duration::from_millis(200);
 /// Minimum time for which an instance continues to serve after it announced that it is leaving.
 const LEAVING_DURATION_MIN: Duration = Duration::from_secs(2);
 
@@ -102,20 +107,29 @@
 
     /// Stops the instance without interrupting work, within the stop limit of the settings. First
     /// removes the instance from the lists of addresses, then waits until cached lists have expired
-    /// and the work in progress has ended, then stops all threads.
+    /// and the work in progress has ended, then stops all threads. Requests that wait too close to the
+    /// limit are refused as not run.
     ///
-    /// Returns the number of requests still in progress at the stop limit.
+    /// Returns the number of requests still in progress at the stop limit, whose outcome their callers
+    /// don't get.
     pub fn close(self) -> i64 {
-        let limit = Instant::now() + self.traffic.settings.stop_limit.duration();
+        let duration = self.traffic.settings.stop_limit.duration();
+        let limit = Instant::now() + duration;
+        let refuse_at = limit - duration.mul_f64(SERVER_TIME_SHARE);
+        let answer_at = limit - ANSWER_PERIOD.min(duration / 2);
         self.traffic.notify(ControlEvent::StopRequested);
         let addresses_expired = Instant::now() + self.address_ttl_max().max(LEAVING_DURATION_MIN);
         while Instant::now() < addresses_expired.min(limit) {
             std::thread::sleep(DRAIN_POLL_INTERVAL);
         }
-        while self.in_progress() > 0 && Instant::now() < limit {
-            std::thread::sleep(DRAIN_POLL_INTERVAL);
+        self.wait_idle(refuse_at);
+        for service in self.traffic.services().values() {
+            service.stop();
         }
+        self.wait_idle(answer_at);
         let left = self.in_progress();
+        self.traffic.end_requests();
+        self.wait_idle(limit);
         let close_by = limit.max(Instant::now() + CLOSE_TIMEOUT_MIN);
         for server in self.servers {
             self.runtime.block_on(server.close(close_by));
@@ -135,6 +149,13 @@
         self.runtime.shutdown_background();
     }
 
+    /// Waits until no request is in progress, at most until `until`.
+    fn wait_idle(&self, until: Instant) {
+        while self.in_progress() > 0 && Instant::now() < until {
+            std::thread::sleep(DRAIN_POLL_INTERVAL);
+        }
+    }
+
     fn in_progress(&self) -> i64 {
         let running = crate::traffic::lock(&self.traffic.running).len();
         self.traffic.metrics.in_progress.get() + i64::try_from(running).unwrap_or(i64::MAX)
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -86,6 +86,14 @@
         core.apply_effects(now, effects);
     }
 
+    /// Refuses all waiting requests and those that arrive from now on.
+    pub fn stop(&self) {
+        let now = self.clock.now();
+        let mut core = self.lock();
+        let effects = core.queue.stop(now);
+        core.apply_effects(now, effects);
+    }
+
     /// Stops sending new requests to a backend server.
     pub fn mark_leaving(&self, grant: &SlotGrant) {
         self.lock().queue.mark_leaving(&grant.server, grant.incarnation);
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -55,6 +55,8 @@
     avoided: Mutex<HashMap<InstanceName, MonoTime>>,
     peer_contacts: Mutex<HashMap<InstanceName, MonoTime>>,
     next_request: AtomicU64,
+    /// Set at the stop limit; requests in progress are then answered at once.
+    ending: watch::Sender<bool>,
 }
 
 impl TrafficState {
@@ -82,6 +84,7 @@
             avoided: Mutex::default(),
             peer_contacts: Mutex::default(),
             next_request: AtomicU64::new(0),
+            ending: watch::Sender::new(false),
             settings,
         }
     }
@@ -108,9 +111,24 @@
             runtime.configure(servers, service.long_yield.duration());
             services.insert(name.clone(), runtime);
         }
+        for (_, runtime) in known.iter().filter(|(name, _)| !services.contains_key(*name)) {
+            // Its waiting requests are refused; nothing else would decide on them.
+            runtime.configure(Vec::new(), Duration::ZERO);
+        }
         self.services.store(Arc::new(services));
     }
 
+    /// Answers the requests in progress without waiting for their outcome.
+    pub(crate) fn end_requests(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until requests in progress have to be answered.
+    pub(crate) async fn wait_ending(&self) {
+        // The sender is part of this state, so the wait can't fail.
+        let _ = self.ending.subscribe().wait_for(|is_ending| *is_ending).await;
+    }
+
     /// Publishes a view that leaves the queues unchanged.
     pub fn refresh_view(&self, view: FleetView) {
         self.view.store(Arc::new(view));
--- a/crates/entry/tests/leaving.rs
+++ b/crates/entry/tests/leaving.rs
@@ -135,9 +135,15 @@
         Self(stream)
     }
 
-    fn finish(mut self) {
+    /// Reads the response, empty if the connection was closed without one.
+    fn read(mut self) -> String {
         let mut text = String::new();
         self.0.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    fn finish(self) {
+        let text = self.read();
         assert!(text.contains("lacewing-verdict: ran"), "{text:?}");
         assert!(text.ends_with("bytes\n"), "{text:?}");
     }
@@ -198,6 +204,66 @@
     other_instance_stops: (false);
 } }
 
+/// Sends more long work to one instance than its server has slots for. Returns the calls and the number
+/// of those that wait.
+fn overload(fleet: &TestFleet, method: &str, work_ms: u32) -> (Vec<OpenCall>, usize) {
+    let calls: Vec<_> = (0..16).map(|_| OpenCall::send(fleet, 0, method, work_ms)).collect();
+    let service = fleet.traffic(0).service(&"orders".parse().unwrap()).unwrap();
+    wait_until("all calls are in slots or wait", || {
+        let snapshot = service.snapshot();
+        snapshot.waiting + snapshot.in_flight == calls.len() && snapshot.waiting > 0
+    });
+    let waiting = service.snapshot().waiting;
+    (calls, waiting)
+}
+
+/// Counts the responses by verdict: `ran`, `not-run`, `may-have-run`, none.
+fn count_verdicts(calls: Vec<OpenCall>) -> [usize; 4] {
+    let mut counts = [0; 4];
+    for call in calls {
+        let text = call.read();
+        let is_verdict = |verdict| text.contains(&format!("lacewing-verdict: {verdict}\r\n"));
+        let index = ["ran", "not-run", "may-have-run"].into_iter().position(is_verdict);
+        counts[index.unwrap_or(3)] += 1;
+    }
+    counts
+}
+
+/// Guards against requests that wait in the queue until an overloaded instance has stopped: their
+/// connections were closed without a response.
+fn check_overloaded_stop(method: &str, work_ms: u32, ends_in_time: bool) {
+    let mut fleet = TestFleet::start_with_settings(1, 1, "[traffic]\nstop_limit_ms = 3000\n");
+    let (calls, waiting) = overload(&fleet, method, work_ms);
+    let instance = fleet.entries.remove(0);
+    let stopping = std::thread::spawn(move || instance.close());
+    let [ran, not_run, may_have_run, none] = count_verdicts(calls);
+    let left = stopping.join().unwrap();
+    assert_eq!(none, 0, "closed without a response");
+    assert_eq!(not_run, waiting);
+    assert_eq!((ran > 0, may_have_run > 0), (ends_in_time, !ends_in_time));
+    assert_eq!(left > 0, !ends_in_time);
+    fleet.close();
+}
+
+cases! { check_overloaded_stop {
+    lookups_that_end: ("GET", 2_400, true);
+    bookings_that_end: ("POST", 2_400, true);
+    lookups_in_progress_at_the_limit: ("GET", 4_500, false);
+    bookings_in_progress_at_the_limit: ("POST", 4_500, false);
+} }
+
+/// Guards against requests that wait in the queue of a service that is dropped: they were sent to its
+/// servers, or never answered if those hung.
+#[test]
+fn waiting_requests_of_a_dropped_service_are_refused() {
+    let fleet = TestFleet::start(1, 1);
+    let (calls, waiting) = overload(&fleet, "GET", 1_000);
+    let started = calls.len() - waiting;
+    fleet.command(0, "drop service orders");
+    assert_eq!(count_verdicts(calls), [started, waiting, 0, 0]);
+    fleet.close();
+}
+
 #[test]
 fn drained_instance_is_removed_from_the_address_lists() {
     let fleet = TestFleet::start(2, 1);
