Gateway: a panic ends neither a duty nor an instance

Before: a handler that panicked closed its connection without an answer; a duty that panicked (sync, queue, heartbeats, datagrams) ended for good; a server whose check panicked was never checked again; readiness stayed 200.

Change: duties start again, handlers that panic answer 502 (may have run), records and checks that panic are skipped; each is logged and counted. An error of the reload duty is logged; it was dropped.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 mod datagram;
 mod home;
 mod member;
+mod panic_record;
 mod pause;
 mod pull;
 mod record;
@@ -22,6 +23,7 @@
 };
 pub use home::HomePolicy;
 pub use member::{FleetSurvey, MemberTable};
+pub use panic_record::PanicRecord;
 pub use pause::PauseDetector;
 pub use pull::{PullBackoff, SnapshotQuota};
 pub use record::{MemberRecord, RecordDecoder, StoreRecord};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,13 +13,14 @@
 use crate::state::{GatewayDecoder, GatewayState};
 use crate::stop::{run_reload, run_stop, wait_signal};
 use crate::store_sync::run_sync;
+use crate::supervise::spawn_duty;
 use model::IncarnationId;
 use smol_str::format_smolstr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use store::ReplicaStore;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::LocalSet;
 
 /// Settings and platform parts of an instance.
 pub struct GatewayParts {
@@ -73,22 +74,30 @@
     let state = Rc::new(state);
     let settings = state.settings();
     state.log.state("start", &format_smolstr!("incarnation {}", state.incarnation));
-    let side = |listener, port| spawn_local(serve_side_port(Rc::clone(&state), listener, port));
     let callers = open_port(settings.caller_address)?;
-    spawn_local(serve_port(Rc::clone(&state), callers, PortKind::Callers, handle_caller));
-    side(open_port(settings.ready_address)?, SidePort::Ready);
-    side(open_port(settings.directory_address)?, SidePort::Directory);
-    side(open_port(settings.peer_address)?, SidePort::Peers);
-    side(open_port(settings.metrics_address)?, SidePort::Metrics);
-    spawn_local(run_datagrams(Rc::clone(&state)));
-    spawn_local(run_heartbeats(Rc::clone(&state)));
-    spawn_local(run_registration(Rc::clone(&state)));
-    spawn_local(run_registrar(Rc::clone(&state)));
-    spawn_local(run_sync(Rc::clone(&state)));
-    spawn_local(run_queue(Rc::clone(&state)));
-    spawn_local(run_health_checks(Rc::clone(&state)));
-    spawn_local(run_limit_reports(Rc::clone(&state)));
-    spawn_local(run_reload(Rc::clone(&state), settings_file));
+    spawn_duty(&state, "callers", move |state| {
+        serve_port(state, Rc::clone(&callers), PortKind::Callers, handle_caller)
+    });
+    let side = |address, port| -> anyhow::Result<()> {
+        let listener = open_port(address)?;
+        spawn_duty(&state, "side port", move |state| {
+            serve_side_port(state, Rc::clone(&listener), port)
+        });
+        Ok(())
+    };
+    side(settings.ready_address, SidePort::Ready)?;
+    side(settings.directory_address, SidePort::Directory)?;
+    side(settings.peer_address, SidePort::Peers)?;
+    side(settings.metrics_address, SidePort::Metrics)?;
+    spawn_duty(&state, "datagrams", run_datagrams);
+    spawn_duty(&state, "heartbeats", run_heartbeats);
+    spawn_duty(&state, "registration", run_registration);
+    spawn_duty(&state, "registrar", run_registrar);
+    spawn_duty(&state, "sync", run_sync);
+    spawn_duty(&state, "queue", run_queue);
+    spawn_duty(&state, "health checks", run_health_checks);
+    spawn_duty(&state, "limit reports", run_limit_reports);
+    spawn_duty(&state, "reload", move |state| run_reload(state, settings_file.clone()));
     run_stop(state, stop_requested).await
 }
 
@@ -102,7 +111,7 @@
 
 async fn serve_side_port(
     state: Rc<GatewayState>,
-    listener: tokio::net::TcpListener,
+    listener: Rc<tokio::net::TcpListener>,
     port: SidePort,
 ) {
     match port {
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -9,6 +9,7 @@
 use crate::peer_port::send_load_reports;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
+use crate::supervise::spawn_task;
 use balance::{BackendState, LoadReport, ServerReach, check_interval};
 use fleet::{LoadRow, server_tag};
 use http::{Request, StatusCode, header};
@@ -52,6 +53,18 @@
 
 type PendingChecks = Rc<RefCell<HashSet<ServerKey>>>;
 
+/// A check in progress; no other one of the server starts until it is dropped.
+struct PendingCheck {
+    key: ServerKey,
+    pending: PendingChecks,
+}
+
+impl Drop for PendingCheck {
+    fn drop(&mut self) {
+        self.pending.borrow_mut().remove(&self.key);
+    }
+}
+
 /// Checks servers while this instance is a health checker or a home.
 pub(crate) async fn run_health_checks(state: Rc<GatewayState>) {
     let pending = PendingChecks::default();
@@ -69,9 +82,9 @@
         for (index, target) in targets(&state, &intervals).into_iter().enumerate() {
             let is_due = index as u32 % CHECK_PHASES == round % CHECK_PHASES;
             if is_due && pending.borrow_mut().insert(target.key.clone()) {
-                let check =
-                    run_check(Rc::clone(&state), target, Rc::clone(&pending), Rc::clone(&rows));
-                tokio::task::spawn_local(check);
+                let guard = PendingCheck { key: target.key.clone(), pending: Rc::clone(&pending) };
+                let check = run_check(Rc::clone(&state), target, guard, Rc::clone(&rows));
+                spawn_task(&state, "health check", check);
             }
         }
         round = round.wrapping_add(1);
@@ -204,11 +217,11 @@
 async fn run_check(
     state: Rc<GatewayState>,
     target: CheckTarget,
-    pending: PendingChecks,
+    pending: PendingCheck,
     rows: Rc<RefCell<Vec<LoadRow>>>,
 ) {
     let row = check_server(&state, &target).await;
-    pending.borrow_mut().remove(&target.key);
+    drop(pending);
     if target.data_centre == state.settings().data_centre {
         rows.borrow_mut().extend(row);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod state;
 mod stop;
 mod store_sync;
+mod supervise;
 
 pub use binding::{HeaderNames, WireBinding};
 pub use gateway::{GatewayParts, run_gateway, run_gateway_until};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     refused: IntCounterVec,
     rejected: IntCounterVec,
     malformed_headers: IntCounterVec,
+    panics: IntCounterVec,
     /// Durations of complete exchanges with backend servers, in seconds.
     pub exchange_seconds: Histogram,
     /// Hedged requests sent.
@@ -106,6 +107,12 @@
                 "Headers of backend servers that could not be read, by header",
                 &["header"],
             ),
+            panics: counters(
+                &registry,
+                "lacewing_panics_total",
+                "Panics of this instance, by task",
+                &["task"],
+            ),
             exchange_seconds: register(&registry, exchange.expect("names of metrics are valid")),
             hedges: counter(&registry, "lacewing_copies_total", "Second copies of slow requests"),
             probes: counter(&registry, "lacewing_probes_total", "Health checks sent"),
@@ -169,6 +176,11 @@
         self.rejected.with_label_values(&[&status.to_string()]).inc();
     }
 
+    /// Counts a panic of a task.
+    pub fn panicked(&self, task: &str) {
+        self.panics.with_label_values(&[task]).inc();
+    }
+
     /// Counts a header of a backend server that could not be read.
     pub fn malformed_header(&self, header: &str) {
         self.malformed_headers.with_label_values(&[header]).inc();
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -2,6 +2,7 @@
 
 use crate::serve::CallerResponse;
 use crate::state::GatewayState;
+use crate::supervise::{contain_handler, spawn_task};
 use anyhow::Context;
 use futures::FutureExt;
 use http::Request;
@@ -39,17 +40,18 @@
 }
 
 /// Opens a listening port.
-pub(crate) fn open_port(address: SocketAddr) -> anyhow::Result<TcpListener> {
+pub(crate) fn open_port(address: SocketAddr) -> anyhow::Result<Rc<TcpListener>> {
     let socket = tokio::net::TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address).with_context(|| format!("cannot bind {address}"))?;
-    socket.listen(1024).with_context(|| format!("cannot listen on {address}"))
+    let listener = socket.listen(1024);
+    Ok(Rc::new(listener.with_context(|| format!("cannot listen on {address}"))?))
 }
 
 /// Serves a port until the instance closes its connections.
 pub(crate) async fn serve_port<F, R>(
     state: Rc<GatewayState>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     kind: PortKind,
     handler: F,
 ) where
@@ -71,7 +73,8 @@
                 // Counted on accept, since many connections may be accepted before the first task
                 // runs.
                 let count = (kind == PortKind::Callers).then(|| ConnectionCount::new(&state));
-                tokio::task::spawn_local(serve_stream(Rc::clone(&state), stream, count, handler));
+                let serving = serve_stream(Rc::clone(&state), stream, count, handler);
+                spawn_task(&state, "connection", serving);
             }
             Err(cause) => {
                 state.log.state("accept_failed", &format_smolstr!("{cause}"));
@@ -122,7 +125,8 @@
     // hyper keeps the memory of a request's future while the connection is idle; boxed, that is a
     // pointer.
     let service = service_fn(move |request| {
-        let future = handler(Rc::clone(&shared), request).boxed_local();
+        let handling = handler(Rc::clone(&shared), request);
+        let future = contain_handler(Rc::clone(&shared), handling).boxed_local();
         future.map(Ok::<_, Infallible>)
     });
     // hyper's timeout for reading a head also ends idle connections.
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -4,6 +4,7 @@
 use crate::fleet_state::NamedRecord;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
+use crate::supervise::{contain, spawn_task};
 use balance::{BackendState, ReachPlan};
 use fleet::{MemberRecord, StoreChange, StoreRecord};
 use model::{BackendSpec, InstanceName, ServerKey, StoreRevision};
@@ -31,7 +32,7 @@
         state.log.state("records", &format_smolstr!("{} changed at once", applied.len()));
     }
     for change in applied {
-        apply_change(state, change, logs_each);
+        contain(state, "record", || apply_change(state, change, logs_each));
     }
     let servers = state.queue().estimates.servers().len();
     state.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
@@ -42,12 +43,16 @@
 /// Takes over the configuration and the members among items of a snapshot that is still being read.
 pub(crate) fn preview_records(state: &Rc<GatewayState>, items: &[ItemState]) {
     for item in items {
-        let record = item.value.as_ref().map(|value| state.decoder.decode(&item.key, value));
-        match record {
-            Some(StoreRecord::Config(table)) => apply_config(state, table),
-            Some(StoreRecord::Member(member)) => state.fleet().members.register(member),
-            _ => {}
-        }
+        contain(state, "record", || preview_record(state, item));
+    }
+}
+
+fn preview_record(state: &Rc<GatewayState>, item: &ItemState) {
+    let record = item.value.as_ref().map(|value| state.decoder.decode(&item.key, value));
+    match record {
+        Some(StoreRecord::Config(table)) => apply_config(state, table),
+        Some(StoreRecord::Member(member)) => state.fleet().members.register(member),
+        _ => {}
     }
 }
 
@@ -124,16 +129,17 @@
     }
     fleet.vanished.insert(key.clone(), now);
     drop(fleet);
-    let state = Rc::clone(state);
-    tokio::task::spawn_local(async move {
+    let shared = Rc::clone(state);
+    let removal = async move {
         tokio::time::sleep(VANISHED_TTL).await;
-        let since = state.fleet_ref().vanished.get(&key).copied();
+        let since = shared.fleet_ref().vanished.get(&key).copied();
         if since == Some(now) {
-            state.fleet().vanished.remove(&key);
-            state.queue().estimates.remove_server(&key);
-            advance_queue(&state);
+            shared.fleet().vanished.remove(&key);
+            shared.queue().estimates.remove_server(&key);
+            advance_queue(&shared);
         }
-    });
+    };
+    spawn_task(state, "vanished server", removal);
 }
 
 fn log_server(state: &GatewayState, server: &BackendSpec, revision: StoreRevision) {
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -8,7 +8,7 @@
 use crate::state::GatewayState;
 use crate::store_sync::pull_from;
 use fleet::{ANNOUNCE_INTERVAL, LEASE_TTL, MemberRecord};
-use model::MonoTime;
+use model::{MonoTime, StoreRevision};
 use rand::RngExt;
 use smol_str::format_smolstr;
 use std::net::SocketAddr;
@@ -38,7 +38,10 @@
     let mut delay = REGISTER_DELAY_FIRST;
     let mut failed_rounds = 0;
     let mut announced_at = state.now();
-    state.first_snapshot.notified().await;
+    // A duty that was started again may have consumed the notification.
+    if state.fleet_ref().replica.as_of() == StoreRevision(0) {
+        state.first_snapshot.notified().await;
+    }
     while !state.is_stopping() {
         let is_registered = is_registered(&state);
         let is_old = state.now().since(announced_at) > ANNOUNCE_INTERVAL;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,9 @@
 use crate::metrics::GatewayMetrics;
 use crate::settings_file::GatewaySettings;
 use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, RequestQueue};
-use fleet::{MemberRegistrar, PauseDetector, PullBackoff, RecordDecoder, SnapshotQuota};
+use fleet::{
+    MemberRegistrar, PanicRecord, PauseDetector, PullBackoff, RecordDecoder, SnapshotQuota,
+};
 use link::{BodyBudget, LinkPool, LinkPoolBuilder};
 use model::{IncarnationId, InstanceName, MonoTime, ProcessClock};
 use routing::{RouteTable, SplitCursor};
@@ -111,6 +113,8 @@
     pub heartbeat_wakeup: Notify,
     /// Set to true to make all ports stop accepting and close their connections.
     pub closing: tokio::sync::watch::Sender<bool>,
+    /// Panics of the tasks of this instance.
+    pub panics: RefCell<PanicRecord>,
     /// Set shortly before the process exits; requests in progress are then answered at once.
     pub ending: tokio::sync::watch::Sender<bool>,
 }
@@ -172,6 +176,7 @@
             limits_wakeup: Notify::new(),
             heartbeat_wakeup: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
+            panics: RefCell::default(),
             ending: tokio::sync::watch::Sender::new(false),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -232,8 +237,9 @@
         self.phase.get() == RunPhase::Stopping
     }
 
-    /// Whether the instance has a configuration and is not stopping.
+    /// Whether the instance has a configuration, is not stopping and does not panic all the time.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.table.borrow().is_some()
+        let is_unready = self.panics.borrow().is_unready(self.now());
+        !self.is_stopping() && self.table.borrow().is_some() && !is_unready
     }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -118,8 +118,14 @@
 
 /// Reloads the settings file when it changes. `SIGHUP` checks it at once and logs the result even
 /// without a change.
-pub(crate) async fn run_reload(state: Rc<GatewayState>, file: PathBuf) -> anyhow::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
+pub(crate) async fn run_reload(state: Rc<GatewayState>, file: PathBuf) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(cause) => {
+            state.log.state("reload_impossible", &format_smolstr!("{cause}"));
+            return;
+        }
+    };
     let mut known = std::fs::read_to_string(&file).unwrap_or_default();
     let mut is_readable = true;
     loop {
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -39,6 +39,8 @@
     pub behaviour: Behaviour,
     /// Value of the limit header of its responses, if any.
     pub limit: Option<String>,
+    /// Load report in the responses to health checks.
+    pub checked_load: String,
     /// Times for which a response to a request with the step `shed-again` was sent once more, late.
     pub repeated: usize,
 }
@@ -80,6 +82,7 @@
             disconnected: 0,
             behaviour: Behaviour::Path,
             limit: None,
+            checked_load: "0,0,6".into(),
             repeated: 0,
         };
         let server = Self { name: name.into(), address, record: Arc::new(Mutex::new(record)) };
@@ -141,8 +144,12 @@
     /// Responds to a request. Returns whether the connection stays open.
     fn respond(&self, stream: &mut TcpStream, request: &InboundRequest) -> std::io::Result<bool> {
         if request.line.starts_with("GET /health ") {
-            self.record.lock().expect("record").checks += 1;
-            let head = format!("HTTP/1.1 200 OK\r\nt-server: {}\r\nt-load: 0,0,6\r\n", self.name);
+            let load = {
+                let mut record = self.record.lock().expect("record");
+                record.checks += 1;
+                record.checked_load.clone()
+            };
+            let head = format!("HTTP/1.1 200 OK\r\nt-server: {}\r\nt-load: {load}\r\n", self.name);
             let limit = self.limit_line();
             write!(stream, "{head}{limit}content-length: 0\r\n\r\n")?;
             return Ok(true);
@@ -217,6 +224,9 @@
             _ => {}
         }
         match step {
+            "panic" => {
+                write!(stream, "{signed}t-load: panic\r\ncontent-length: {length}\r\n\r\n{body}")?
+            }
             "spoiled-load" => write!(
                 stream,
                 "{signed}t-load: 4294967295,0,6,9e99\r\ncontent-length: {length}\r\n\r\n{body}"
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -28,6 +28,9 @@
 /// Interval between checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// A load report or record with this text makes the binding or the decoder of the tests panic.
+pub const PANIC_TEXT: &str = "panic";
+
 /// Protocol binding of the tests.
 struct TestBinding(HeaderNames);
 
@@ -52,6 +55,7 @@
     }
 
     fn load_report(&self, text: &str) -> Option<LoadReport> {
+        assert_ne!(text, PANIC_TEXT);
         let mut fields = text.split(',');
         let running = fields.next()?.parse().ok()?;
         let slowdown = fields.nth(2).and_then(|field| field.parse().ok()).unwrap_or(1.0);
@@ -95,6 +99,7 @@
     type Config = RouteTable;
 
     fn decode(&self, key: &str, value: &str) -> StoreRecord<RouteTable> {
+        assert_ne!(value, PANIC_TEXT);
         if key == "config" {
             let (version, timeout) = value.split_once(' ').unwrap_or((value, ""));
             return match version.parse() {
--- a/crates/gateway/tests/support/memory_store.rs
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -28,6 +28,7 @@
     writers: BTreeSet<SmolStr>,
     writes: u64,
     read_lag: u64,
+    panics: bool,
 }
 
 /// The store; clones share its contents.
@@ -75,6 +76,11 @@
         self.lock().read_lag = changes;
     }
 
+    /// Makes each watch panic.
+    pub fn set_panics(&self, panics: bool) {
+        self.lock().panics = panics;
+    }
+
     /// Number of writes by all instances.
     pub fn writes(&self) -> u64 {
         self.lock().writes
@@ -110,7 +116,8 @@
 
     async fn follow(&self, after: StoreRevision, wait: Millis) -> Result<WatchReply, StoreError> {
         let until = Instant::now() + wait.duration();
-        drop(self.lock_unless_refused()?);
+        let panics = self.lock_unless_refused()?.panics;
+        assert!(!panics, "the watch panics on purpose");
         loop {
             {
                 let state = self.store.lock();
