Servers that leave or want quiet say so in their answers

Before, no header of that name was read, and a server's Retry-After was ignored.

Change: a server that answers with Server-Leaving: 1 gets nothing more from that instance, whatever its record says, until it starts again; idle connections to it close. A server that answers 503 with Retry-After gets no requests, retries or health checks for that time (up to an hour; the return of instances is spread over 0.3 s), then two requests at a time until one is answered. If no other server is left, requests are refused at once, as not run, with the earliest end as Retry-After; those that wait are refused too. Values that can't be read change nothing, and are logged and counted.

--- a/crates/balance/src/estimates.rs
+++ b/crates/balance/src/estimates.rs
@@ -2,6 +2,7 @@
 //! and from its own exchanges.
 
 mod limits;
+mod notices;
 
 pub use limits::LimitStatement;
 
@@ -9,6 +10,7 @@
 use crate::rate_limit::RateAllowance;
 use crate::reach::{ReachPlan, ServerReach};
 use model::{BackendSpec, DataCentre, InstanceName, MonoTime, ServerKey, ServiceName};
+use notices::ServerNotice;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -101,6 +103,10 @@
     allowance: Option<RateAllowance>,
     /// When the server last said that it limits its requests, or that it no longer does.
     limit_told_at: Option<MonoTime>,
+    /// Time until which the server wants no requests.
+    quiet_until: MonoTime,
+    /// Whether the server has asked for quiet and answered no request since.
+    is_returning: bool,
 }
 
 impl BackendState {
@@ -123,12 +129,14 @@
             sent_count: 0,
             allowance: None,
             limit_told_at: None,
+            quiet_until: MonoTime(0),
+            is_returning: false,
         }
     }
 
     /// Whether the server may get new requests now.
     pub fn is_usable(&self, now: MonoTime) -> bool {
-        !self.spec.is_leaving && !self.is_misdirected && now >= self.backoff_until
+        self.is_eligible() && now >= self.backoff_until && !self.is_quiet(now)
     }
 
     /// Returns this instance's part of the rate that the server accepts; `None` without a limit.
@@ -256,6 +264,7 @@
     pub demands: DemandTable,
     /// Servers that limit the rate of their requests, or did so a short time ago.
     limited: HashSet<ServerKey>,
+    notices: HashMap<ServerKey, ServerNotice>,
 }
 
 impl Default for LoadEstimates {
@@ -268,6 +277,7 @@
             plan: ReachPlan::default(),
             demands: DemandTable::default(),
             limited: HashSet::new(),
+            notices: HashMap::new(),
         }
     }
 }
@@ -322,7 +332,11 @@
         let reach = self.reach_of(&spec);
         let Some(state) = self.servers.get_mut(&key) else {
             self.index_server(&spec, reach);
-            self.servers.insert(key, Box::new(BackendState::new(now, spec, reach)));
+            let mut state = BackendState::new(now, spec, reach);
+            if let Some(notice) = self.notices.get(&key) {
+                state.apply_notice(*notice);
+            }
+            self.servers.insert(key, Box::new(state));
             return;
         };
         let is_leaving = state.spec.is_leaving || spec.is_leaving;
@@ -401,13 +415,6 @@
         self.mean_slowdown
     }
 
-    /// Records that a server announced its own drain; it gets no further requests.
-    pub fn mark_leaving(&mut self, key: &ServerKey) {
-        if let Some(state) = self.servers.get_mut(key) {
-            state.spec.is_leaving = true;
-        }
-    }
-
     /// Records the start of an exchange. `exchange_id` must be unique among those in progress.
     pub fn start_exchange(&mut self, now: MonoTime, key: &ServerKey, exchange_id: u64) {
         if let Some(state) = self.servers.get_mut(key) {
@@ -466,6 +473,7 @@
         match outcome {
             ExchangeOutcome::Answered => {
                 state.failed_contacts = 0;
+                state.is_returning = false;
                 state.count_exchange(now, false);
             }
             ExchangeOutcome::Failed | ExchangeOutcome::Broken | ExchangeOutcome::TimedOut => {
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -66,6 +66,8 @@
     Wait(Duration),
     /// The service has no eligible server.
     NoServer,
+    /// All eligible servers want no requests; with the time until the first one takes them again.
+    Quiet(Duration),
 }
 
 /// Chooses backend servers for requests.
@@ -211,8 +213,10 @@
             return without_usable_server(inputs);
         }
         let slots_of = |state: &BackendState| inputs.contention.useful_slots(state.spec.slots);
-        let is_free =
-            |state: &BackendState| claimed_slots(inputs, state, slots_of(state)) < slots_of(state);
+        let is_free = |state: &BackendState| {
+            state.accepts_one_more(now)
+                && claimed_slots(inputs, state, slots_of(state)) < slots_of(state)
+        };
         let mut best: Option<(&BackendState, f64, f64)> = None;
         // Slots in use, converted to slots at normal speed that serve as many requests.
         let mut busy_at_normal_speed = 0.0;
@@ -266,7 +270,8 @@
     slowdown <= NORMAL_SLOWDOWN_MAX && weight >= NORMAL_REPORT_WEIGHT_MIN
 }
 
-/// Decides while no server is usable: the request waits if an eligible one may become usable.
+/// Decides while no server is usable: the request waits if an eligible one that wants requests may become
+/// usable.
 fn without_usable_server(inputs: &PlacementInputs<'_>) -> PlacementDecision {
     let avoid = inputs.avoid;
     let mut eligible = inputs
@@ -274,10 +279,16 @@
         .servers_of(inputs.service)
         .chain(inputs.estimates.servers_beyond(inputs.service))
         .filter(|state| state.is_eligible() && !avoid.contains(&state.spec.key));
-    match eligible.next() {
-        Some(_) => PlacementDecision::Wait(inputs.processing_time),
-        None => PlacementDecision::NoServer,
+    let Some(first) = eligible.next() else {
+        return PlacementDecision::NoServer;
+    };
+    let quiet_left = eligible
+        .map(|state| state.quiet_left(inputs.now))
+        .fold(first.quiet_left(inputs.now), Duration::min);
+    if quiet_left.is_zero() {
+        return PlacementDecision::Wait(inputs.processing_time);
     }
+    PlacementDecision::Quiet(quiet_left)
 }
 
 /// Sends each request to a random usable server at once; a baseline for comparisons.
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -99,6 +99,8 @@
     Expired,
     /// The instance stops, and too little time is left before its exit.
     Stopping,
+    /// All servers of the service want no requests for a time.
+    Quiet,
 }
 
 impl RefusalCause {
@@ -110,6 +112,7 @@
             Self::TooLate => "too_late",
             Self::Expired => "expired",
             Self::Stopping => "stopping",
+            Self::Quiet => "quiet",
         }
     }
 }
@@ -227,6 +230,7 @@
             PlacementDecision::NoServer => {
                 Some(refuse(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
             }
+            PlacementDecision::Quiet(left) => Some(refuse_quiet(left)),
             PlacementDecision::Wait(wait) => {
                 let is_too_late = !self.can_meet_deadline(now.plus(wait), &spec);
                 if self.waiting_count >= self.policy.waiting_max {
@@ -427,6 +431,7 @@
                     PlacementDecision::NoServer => {
                         Some(refuse(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
                     }
+                    PlacementDecision::Quiet(left) => Some(refuse_quiet(left)),
                     PlacementDecision::Wait(_) => {
                         // A request that excludes servers may have to wait while the requests
                         // behind it can be placed.
@@ -454,6 +459,12 @@
     }
 }
 
+/// Refuses a request until the first server takes requests again.
+fn refuse_quiet(left: Duration) -> QueueDecision {
+    let retry_after = left.max(RETRY_AFTER_MIN).into();
+    QueueDecision::Refuse(QueueRefusal { cause: RefusalCause::Quiet, retry_after })
+}
+
 fn refuse(cause: RefusalCause, wait: Duration) -> QueueDecision {
     let retry_after = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX).into();
     QueueDecision::Refuse(QueueRefusal { cause, retry_after })
--- a/crates/gateway/src/binding.rs
+++ b/crates/gateway/src/binding.rs
@@ -24,6 +24,8 @@
     pub load: HeaderName,
     /// Rate of requests that a backend server accepts; present only while it limits them.
     pub limit: HeaderName,
+    /// Present with the value `1` in the responses of a backend server that leaves.
+    pub leaving: HeaderName,
     /// Id of the backend server that responds to a health check.
     pub server: HeaderName,
 }
@@ -39,6 +41,10 @@
     /// Parses the value of the limit header; `None` if it is malformed.
     fn request_limit(&self, text: &str) -> Option<RequestRate>;
 
+    /// Parses the time for which a backend server that refuses a request wants no others; `None` if it is
+    /// malformed.
+    fn quiet_period(&self, text: &str) -> Option<Duration>;
+
     /// Path of the directory, where callers look up the addresses to connect to.
     fn directory_path(&self) -> &str;
 
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -4,7 +4,7 @@
 //! to the homes in datagrams with a few bytes for each server. A home checks a server itself when
 //! it receives no reports on it.
 
-use crate::exchange::{parse_load_report, record_named_limit};
+use crate::exchange::{parse_load_report, record_leaving, record_named_limit};
 use crate::fleet_state::{FleetState, LoadReach};
 use crate::peer_port::send_load_reports;
 use crate::slots::advance_queue;
@@ -201,7 +201,9 @@
         .estimates
         .servers()
         .filter(|server| {
-            server.is_eligible() && is_assigned(&fleet, &own_centre, server, now, intervals)
+            server.is_eligible()
+                && !server.is_quiet(now)
+                && is_assigned(&fleet, &own_centre, server, now, intervals)
         })
         .filter_map(|server| {
             let path = path_of(&server.spec.service)?;
@@ -252,6 +254,9 @@
         .get(&names.server)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok());
+    if server.as_ref() == Some(&target.key.name) {
+        record_leaving(state, &target.key, target.address, response.headers());
+    }
     match server {
         // A response to an earlier request on this connection.
         None => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
     rejected: IntCounterVec,
     malformed_headers: IntCounterVec,
     panics: IntCounterVec,
+    notices: IntCounterVec,
     /// Durations of complete exchanges with backend servers, in seconds.
     pub exchange_seconds: Histogram,
     /// Hedged requests sent.
@@ -113,6 +114,12 @@
                 "Panics of this instance, by task",
                 &["task"],
             ),
+            notices: counters(
+                &registry,
+                "lacewing_server_notices_total",
+                "Notices of backend servers: leaving, or quiet (no requests for a time)",
+                &["notice"],
+            ),
             exchange_seconds: register(&registry, exchange.expect("names of metrics are valid")),
             hedges: counter(&registry, "lacewing_copies_total", "Second copies of slow requests"),
             probes: counter(&registry, "lacewing_probes_total", "Health checks sent"),
@@ -176,6 +183,11 @@
         self.rejected.with_label_values(&[&status.to_string()]).inc();
     }
 
+    /// Counts a notice of a backend server.
+    pub fn noticed(&self, notice: &str) {
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
     /// Counts a panic of a task.
     pub fn panicked(&self, task: &str) {
         self.panics.with_label_values(&[task]).inc();
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -39,6 +39,10 @@
     pub behaviour: Behaviour,
     /// Value of the limit header of its responses, if any.
     pub limit: Option<String>,
+    /// Further header lines of its responses, each with its line end.
+    pub notice: String,
+    /// Whether it answers requests with 503 and the notice, without running them.
+    pub refuses: bool,
     /// Load report in the responses to health checks.
     pub checked_load: String,
     /// Times for which a response to a request with the step `shed-again` was sent once more, late.
@@ -82,6 +86,8 @@
             disconnected: 0,
             behaviour: Behaviour::Path,
             limit: None,
+            notice: String::new(),
+            refuses: false,
             checked_load: "0,0,6".into(),
             repeated: 0,
         };
@@ -107,9 +113,22 @@
         self.record.lock().expect("record").limit = limit.map(Into::into);
     }
 
+    /// Changes the header lines of later responses, and whether they refuse.
+    pub fn set_notice(&self, notice: &str, refuses: bool) {
+        let mut record = self.record.lock().expect("record");
+        (record.notice, record.refuses) = (notice.into(), refuses);
+    }
+
+    /// Number of requests that arrived, health checks included.
+    pub fn arrivals(&self) -> usize {
+        let record = self.record.lock().expect("record");
+        record.arrived.len() + record.checks
+    }
+
     fn limit_line(&self) -> String {
-        let limit = self.record.lock().expect("record").limit.clone();
-        limit.map(|limit| format!("t-limit: {limit}\r\n")).unwrap_or_default()
+        let record = self.record.lock().expect("record");
+        let limit = record.limit.as_ref().map(|limit| format!("t-limit: {limit}\r\n"));
+        limit.unwrap_or_default() + &record.notice
     }
 
     /// Ids of requests that it ran.
@@ -163,12 +182,17 @@
         };
         let path = request.line.split(' ').nth(1).unwrap_or_default();
         let step = path.split('/').nth(2).unwrap_or_default();
-        let is_shed = behaviour == Behaviour::Shed || step.starts_with("shed");
+        let refuses = self.record.lock().expect("record").refuses;
+        let is_shed = refuses || behaviour == Behaviour::Shed || step.starts_with("shed");
         if is_shed || behaviour == Behaviour::Misdirected || request.header("t-expect") != self.name
         {
             let status = if is_shed { "503 Full" } else { "421 Misdirected" };
             let mark = if is_shed { "t-not-run: 1\r\n" } else { "" };
-            write!(stream, "HTTP/1.1 {status}\r\nt-id: {id}\r\n{mark}content-length: 0\r\n\r\n")?;
+            let notice = self.record.lock().expect("record").notice.clone();
+            write!(
+                stream,
+                "HTTP/1.1 {status}\r\nt-id: {id}\r\n{mark}{notice}content-length: 0\r\n\r\n"
+            )?;
             return Ok(true);
         }
         self.record.lock().expect("record").ran.push(id.clone());
@@ -250,7 +274,7 @@
             )?,
             "fail" => write!(
                 stream,
-                "HTTP/1.1 500 Failed\r\nt-id: {id}\r\nt-signature: s-{id}\r\ncontent-length: 0\r\n\r\n"
+                "HTTP/1.1 500 Failed\r\nt-id: {id}\r\nt-signature: s-{id}\r\n{limit}content-length: 0\r\n\r\n"
             )?,
             "glued-heads" => {}
             _ => write!(stream, "{signed}content-length: {length}\r\n\r\n{body}")?,
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -44,6 +44,7 @@
             not_run: HeaderName::from_static("t-not-run"),
             load: HeaderName::from_static("t-load"),
             limit: HeaderName::from_static("t-limit"),
+            leaving: HeaderName::from_static("t-leaving"),
             server: HeaderName::from_static("t-server"),
         })
     }
@@ -66,6 +67,10 @@
         text.parse().ok()
     }
 
+    fn quiet_period(&self, text: &str) -> Option<Duration> {
+        Duration::try_from_secs_f64(text.parse().ok()?).ok()
+    }
+
     fn directory_path(&self) -> &str {
         "/where"
     }
