--- a/crates/routing/tests/table.rs
+++ b/crates/routing/tests/table.rs
@@ -76,6 +76,44 @@
         }
     }
 
+    /// Guards against credits that outlive the weights under which they were earned: after a change to
+    /// smaller weights, a service that should get one request in a hundred got most of them.
+    #[test]
+    fn shares_follow_the_weights_after_any_change(
+        phases in prop::collection::vec(
+            (prop::collection::vec((0_usize..5, 0_u32..100), 2..5), -3_i32..4, 0_usize..250),
+            1..8,
+        ),
+    ) {
+        let mut cursor = SplitCursor::default();
+        for (parts, scale, length) in phases {
+            let mut targets: Vec<RouteTarget> = Vec::new();
+            for (index, weight) in parts {
+                let name = format!("s{index}");
+                if targets.iter().all(|known| known.service.as_str() != name) {
+                    targets.push(target(&name, f64::from(weight) * 10.0_f64.powi(scale)));
+                }
+            }
+            let total: f64 = targets.iter().map(|target| target.weight).sum();
+            if total <= 0.0 {
+                continue;
+            }
+            let route = RouteBuilder::new("r".into(), "/".into(), targets.clone()).build();
+            let mut counts = vec![0_usize; targets.len()];
+            for _ in 0..length {
+                let chosen = cursor.next(&route).clone();
+                let place = targets.iter().position(|target| target.service == chosen);
+                counts[place.expect("a target of the route")] += 1;
+            }
+            for (count, target) in counts.iter().zip(&targets) {
+                let share = length as f64 * target.weight / total;
+                let allowed = targets.len() as f64 + 1.0;
+                prop_assert!((*count as f64 - share).abs() <= allowed, "{counts:?} of {length}");
+                prop_assert!(target.weight > 0.0 || *count == 0);
+            }
+        }
+    }
+
     #[test]
     fn finding_never_panics(host in ".*", path in ".*") {
         let table = TableBuilder::new(ConfigVersion(1), LIMITS).host(&host).build();
