Readiness after panics counts callers' requests only

An answered readiness check ended the time in which an instance whose handlers panic is not ready. The test now asks three times; it failed before.

--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -31,7 +31,9 @@
     let id = request.headers().get(&state.binding.headers().request_id).cloned();
     let accepted = tokio::select! {
         accepted = accept_request(&state, request) => accepted,
-        () = state.wait_ending() => Err(RequestRejection::unavailable("stopping", STOPPING_RETRY_AFTER)),
+        () = state.wait_ending() => {
+            Err(RequestRejection::unavailable("stopping", STOPPING_RETRY_AFTER))
+        }
     };
     let mut response = match accepted {
         Ok((routed, memory)) => {
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -73,7 +73,7 @@
                 // Counted on accept, since many connections may be accepted before the first task
                 // runs.
                 let count = (kind == PortKind::Callers).then(|| ConnectionCount::new(&state));
-                let serving = serve_stream(Rc::clone(&state), stream, count, handler);
+                let serving = serve_stream(Rc::clone(&state), stream, kind, count, handler);
                 spawn_task(&state, "connection", serving);
             }
             Err(cause) => {
@@ -108,6 +108,7 @@
 async fn serve_stream<F, R>(
     state: Rc<GatewayState>,
     stream: TcpStream,
+    kind: PortKind,
     _count: Option<ConnectionCount>,
     handler: F,
 ) where
@@ -126,7 +127,7 @@
     // pointer.
     let service = service_fn(move |request| {
         let handling = handler(Rc::clone(&shared), request);
-        let future = contain_handler(Rc::clone(&shared), handling).boxed_local();
+        let future = contain_handler(Rc::clone(&shared), kind, handling).boxed_local();
         future.map(Ok::<_, Infallible>)
     });
     // hyper's timeout for reading a head also ends idle connections.
--- a/crates/gateway/src/supervise.rs
+++ b/crates/gateway/src/supervise.rs
@@ -1,6 +1,7 @@
 //! Contains panics. A duty that panics is started again, a request whose handler panics is answered, and
 //! an instance that does little but panic is not ready.
 
+use crate::port::PortKind;
 use crate::serve::{CallerResponse, plain_response};
 use crate::state::GatewayState;
 use futures::FutureExt;
@@ -45,15 +46,18 @@
     });
 }
 
-/// Runs the handler of a request. If it panics, the request may have run, and its connection closes
-/// after the response.
+/// Runs the handler of a request to a port. If it panics, the request may have run, and its connection
+/// closes after the response. Only requests of callers show that the instance serves.
 pub(crate) async fn contain_handler(
     state: Rc<GatewayState>,
+    kind: PortKind,
     handler: impl Future<Output = CallerResponse>,
 ) -> CallerResponse {
     match AssertUnwindSafe(handler).catch_unwind().await {
         Ok(response) => {
-            state.panics.borrow_mut().record_success();
+            if kind == PortKind::Callers {
+                state.panics.borrow_mut().record_success();
+            }
             response
         }
         Err(panic) => {
--- a/crates/gateway/tests/panics.rs
+++ b/crates/gateway/tests/panics.rs
@@ -39,7 +39,10 @@
     for round in 0..6 {
         assert_eq!(call_work(&instance, PANIC_TEXT, &format!("id-{round}")).status, 502);
     }
-    assert!(!is_ready(&instance));
+    // Readiness checks that are answered don't show that callers are served.
+    for _ in 0..3 {
+        assert!(!is_ready(&instance));
+    }
     assert_eq!(call_work(&instance, "ok", "id-ok").status, 200);
     wait_until("ready again", || is_ready(&instance));
     instance.close();
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -205,8 +205,8 @@
         deadline: Instant,
     ) -> Result<Response<Bytes>, LinkError> {
         let started = Instant::now();
-        let identity = self.settings.identity.as_ref();
-        let requested = identity.and_then(|name| request.headers().get(name)).cloned();
+        let header = self.settings.identity.as_ref();
+        let requested = header.and_then(|name| request.headers().get(name)).cloned();
         let mut request = request;
         loop {
             let idle = self.take_idle(address, choice);
@@ -236,20 +236,21 @@
                 },
                 Ok(Ok(response)) => response,
             };
-            let identity = identity.map_or(ResponseIdentity::Same, |name| {
+            let identity = header.map_or(ResponseIdentity::Same, |name| {
                 ResponseIdentity::new(requested.as_ref(), response.headers(), name)
             });
-            match identity {
-                ResponseIdentity::Same => {}
+            return match identity {
+                ResponseIdentity::Same => {
+                    self.read_response(address, sender, response, started, deadline).await
+                }
                 // No other response can arrive on a connection that served no other request.
                 ResponseIdentity::Unnamed if !is_reused => {
-                    return self.read_last_response(address, response, started, deadline).await;
+                    self.read_last_response(address, response, started, deadline).await
                 }
                 ResponseIdentity::Unnamed | ResponseIdentity::Other => {
-                    return Err(LinkError::OtherResponse);
+                    Err(LinkError::OtherResponse)
                 }
-            }
-            return self.read_response(address, sender, response, started, deadline).await;
+            };
         }
     }
 
