--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -105,7 +105,8 @@
                     waiter.is_decided = true;
                     decision
                 }
-                // The queue refuses requests before their deadline, so it has lost this one.
+                // Work of a few milliseconds may reach its deadline between two rounds of the queue; the
+                // queue has lost any other request that gets here.
                 Ok(Err(_)) | Err(_) => {
                     state.log.state("queue_lost", &format_smolstr!("{id:?}"));
                     let refusal = QueueRefusal {
