--- a/crates/balance/tests/check_interval.rs
+++ b/crates/balance/tests/check_interval.rs
@@ -1,6 +1,7 @@
 //! Interval between health checks by load, number of servers and limits.
 
 use balance::check_interval;
+use model::COMPUTED_DURATION_MAX;
 use testkit::cases;
 
 fn check_interval_is(allowed_per_s: f64, servers: usize, running: u32, expected_ms: u128) {
@@ -16,4 +17,6 @@
     strict_limit_and_no_load: (10.0, 10, 0, 500);
     many_servers: (60.0, 750, 3_000, 500);
     no_servers: (60.0, 0, 0, 200);
+    tiny_limit: (1e-300, 10, 60, COMPUTED_DURATION_MAX.as_millis());
+    limit_of_zero: (0.0, 10, 60, COMPUTED_DURATION_MAX.as_millis());
 } }
--- a/crates/dispatch/tests/probes.rs
+++ b/crates/dispatch/tests/probes.rs
@@ -129,3 +129,20 @@
     assert!((30..=34).contains(&probes), "{probes}");
     assert!(PROBE_RENEWAL_INTERVAL < PROBE_LEASE_TTL);
 }
+
+/// Guards against the interval of a tiny rate, which is longer than any duration; the probe panicked.
+#[test]
+fn a_tiny_rate_allows_no_probe() {
+    let mut pacer = ProbePacer::default();
+    pacer.grant(MonoTime(0));
+    let server: ServerName = "s0".parse().expect("name");
+    let mut usable = 0;
+    for step in 0..200 {
+        let now = MonoTime(step * STEP_MS * 1_000);
+        pacer.renew(now);
+        usable += u32::from(pacer.may_send(now));
+        let next = pacer.take(now, ProbeRate(1e-300), std::slice::from_ref(&server));
+        assert_eq!(next, None);
+    }
+    assert!(usable > 0);
+}
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -341,3 +341,11 @@
     last_of_large_fleet_leaves_a_failing_store_alone: (450, 9_000, true, WatchDuty::Follow);
     others_join_if_all_callers_are_turned_away: (20, 6_000, true, WatchDuty::Watch);
 } }
+
+/// Guards against overflow when a record with this instance's name claims the highest incarnation.
+#[test]
+fn the_highest_registered_incarnation_does_not_overflow() {
+    let mut table = table();
+    table.supersede(IncarnationId(u64::MAX));
+    assert_eq!(table.this().incarnation, IncarnationId(u64::MAX));
+}
