--- a/crates/balance/src/check_interval.rs
+++ b/crates/balance/src/check_interval.rs
@@ -2,6 +2,7 @@
 //! the interval grows while there are few requests. It also grows with the number of servers,
 //! because one instance can make only a limited number of checks.
 
+use model::bounded_duration;
 use std::time::Duration;
 
 /// Interval between checks of one server under normal load, unless a limit requires a longer one.
@@ -23,9 +24,9 @@
 /// the number of servers that this instance checks, and `running` the number of requests in
 /// progress at all of these servers together.
 pub fn check_interval(allowed_per_s: f64, servers: usize, running: u32) -> Duration {
-    let shortest = NORMAL_INTERVAL.max(Duration::from_secs_f64(1.0 / (allowed_per_s * RATE_USED)));
+    let shortest = NORMAL_INTERVAL.max(bounded_duration(1.0 / (allowed_per_s * RATE_USED)));
     let occupancy = f64::from(running) / servers.max(1) as f64;
     let factor = (NORMAL_OCCUPANCY / occupancy.max(f64::EPSILON)).clamp(1.0, LOW_LOAD_FACTOR_MAX);
-    let instance_limit = Duration::from_secs_f64(servers as f64 / CHECKS_PER_S_MAX);
+    let instance_limit = bounded_duration(servers as f64 / CHECKS_PER_S_MAX);
     shortest.mul_f64(factor).max(instance_limit)
 }
--- a/crates/balance/src/estimates.rs
+++ b/crates/balance/src/estimates.rs
@@ -28,6 +28,8 @@
 /// Successful exchanges that every server is credited with. They keep the failure ratio of a new
 /// server low after its first failure.
 const CREDITED_SUCCESSES: f64 = 4.0;
+/// Range of the slowdown factors that reports are limited to. Datagrams carry no higher ones.
+const SLOWDOWN_RANGE: (f64, f64) = (0.01, 25.5);
 /// Weight of the newest report in the mean slowdown of all servers.
 const MEAN_SLOWDOWN_WEIGHT: f64 = 0.02;
 /// Slowdown factor that is assumed before the first report.
@@ -143,7 +145,7 @@
     pub fn occupancy(&self, now: MonoTime) -> u32 {
         let own = u32::try_from(self.in_flight_since.len()).unwrap_or(u32::MAX);
         let is_current = self.reported_at.is_some_and(|at| now.since(at) < REPORT_AGE_MAX);
-        own + if is_current { self.external } else { 0 }
+        own.saturating_add(if is_current { self.external } else { 0 })
     }
 
     /// Returns the number of this instance's requests in progress that were sent after the latest
@@ -227,7 +229,7 @@
         }
         let own = self.in_flight_since.values().filter(|sent| **sent <= made_at).count();
         let own = u32::try_from(own).unwrap_or(u32::MAX);
-        self.external = (report.running + report.waiting).saturating_sub(own);
+        self.external = report.running.saturating_add(report.waiting).saturating_sub(own);
         self.slowdown = report.slowdown;
         self.reported_at = Some(made_at);
         self.failed_contacts = 0;
@@ -417,11 +419,14 @@
         }
     }
 
-    /// Records a load report from a response, a health check or another instance.
+    /// Records a load report from a response, a health check or another instance. A slowdown that no
+    /// server can have is limited to [`SLOWDOWN_RANGE`]: one report must not decide on all servers.
     pub fn record_report(&mut self, made_at: MonoTime, key: &ServerKey, report: LoadReport) {
-        let Some(state) = self.servers.get_mut(key) else {
+        let Some(state) = self.servers.get_mut(key).filter(|_| !report.slowdown.is_nan()) else {
             return;
         };
+        let (lowest, highest) = SLOWDOWN_RANGE;
+        let report = LoadReport { slowdown: report.slowdown.clamp(lowest, highest), ..report };
         state.record_report(made_at, report);
         self.mean_slowdown += MEAN_SLOWDOWN_WEIGHT * (report.slowdown - self.mean_slowdown);
     }
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::estimates::{BackendState, LoadEstimates};
 use crate::rate_limit::RateAllowance;
 use crate::reach::ServerReach;
-use model::{DataCentre, MonoTime, ServerKey, ServiceName};
+use model::{DataCentre, MonoTime, ServerKey, ServiceName, bounded_duration};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
@@ -154,8 +154,8 @@
     let ServerReach::Guest { competitors } = state.reach else {
         return occupancy;
     };
-    let claims = competitors.saturating_mul(1 + state.sent_since_report());
-    occupancy + claims.min(useful_slots.saturating_sub(1))
+    let claims = competitors.saturating_mul(state.sent_since_report().saturating_add(1));
+    occupancy.saturating_add(claims.min(useful_slots.saturating_sub(1)))
 }
 
 /// Servers that get no request now since they limit the rate of their requests.
@@ -249,9 +249,9 @@
                     || busy_at_normal_speed < 1.0
                     || has_normal_speed(state, now) =>
             {
-                PlacementDecision::Send(state.spec.key.clone(), Duration::from_secs_f64(duration_s))
+                PlacementDecision::Send(state.spec.key.clone(), bounded_duration(duration_s))
             }
-            _ => PlacementDecision::Wait(Duration::from_secs_f64(wait_s)),
+            _ => PlacementDecision::Wait(bounded_duration(wait_s)),
         }
     }
 }
--- a/crates/balance/src/processing.rs
+++ b/crates/balance/src/processing.rs
@@ -1,7 +1,7 @@
 //! Processing times of the routes and contention curves of the services, learned from responses.
 
 use crate::contention::ContentionCurve;
-use model::{ServiceName, SlotCount};
+use model::{ServiceName, SlotCount, bounded_duration};
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -60,7 +60,7 @@
     /// from the latency objective.
     pub fn processing_time(&self, route: &str, objective: Duration) -> Duration {
         match self.routes.get(route) {
-            Some(known) => Duration::from_secs_f64(known.mean_s),
+            Some(known) => bounded_duration(known.mean_s),
             None => objective.mul_f64(INITIAL_OBJECTIVE_RATIO),
         }
     }
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -323,6 +323,7 @@
             queue.retain(|_, request| request.id != id);
             self.waiting_count -= before - queue.len();
         }
+        self.waiting.retain(|_, queue| !queue.is_empty());
     }
 
     /// Places or refuses waiting requests after time has passed, a slot was freed or the load
@@ -334,29 +335,31 @@
         }
         let services: Vec<ServiceName> = self.waiting.keys().cloned().collect();
         for service in services {
-            let mut queue = self.waiting.remove(&service).unwrap_or_default();
-            self.advance_service(now, &mut queue, &mut decided);
-            if !queue.is_empty() {
-                self.waiting.insert(service, queue);
-            }
+            self.advance_service(now, &service, &mut decided);
         }
-        self.waiting_count -= decided.len();
         decided
     }
 
+    /// Decides on the waiting requests of a service. Each one waits until its decision is made, so that
+    /// none is lost if a decision panics.
     fn advance_service(
         &mut self,
         now: MonoTime,
-        queue: &mut BTreeMap<OrderKey, WaitingRequest>,
+        service: &ServiceName,
         decided: &mut Vec<(QueueId, QueueDecision)>,
     ) {
+        let Some(queue) = self.waiting.get(service) else {
+            return;
+        };
+        let (late, on_time): (Vec<OrderKey>, Vec<OrderKey>) =
+            queue.keys().copied().partition(|order| self.is_late(now, &queue[order].spec));
         let mut is_blocked = false;
-        let orders: Vec<OrderKey> = queue.keys().copied().collect();
         let mut ahead = 0;
-        let (late, on_time): (Vec<_>, Vec<_>) =
-            orders.into_iter().partition(|order| self.is_late(now, &queue[order].spec));
         for order in on_time.into_iter().chain(late) {
-            let request = &queue[&order];
+            let Some(request) = self.waiting.get(service).and_then(|queue| queue.get(&order))
+            else {
+                continue;
+            };
             let id = request.id;
             let decision = if !self.can_meet_deadline(now, &request.spec) {
                 Some(refuse(RefusalCause::Expired, RETRY_AFTER_MIN))
@@ -381,11 +384,21 @@
                 }
             };
             if let Some(decision) = decision {
-                queue.remove(&order);
+                self.remove_waiting(service, &order);
                 decided.push((id, decision));
             }
         }
     }
+
+    fn remove_waiting(&mut self, service: &ServiceName, order: &OrderKey) {
+        let Some(queue) = self.waiting.get_mut(service) else {
+            return;
+        };
+        self.waiting_count -= usize::from(queue.remove(order).is_some());
+        if queue.is_empty() {
+            self.waiting.remove(service);
+        }
+    }
 }
 
 fn refuse(cause: RefusalCause, wait: Duration) -> QueueDecision {
--- a/crates/control/src/reducer.rs
+++ b/crates/control/src/reducer.rs
@@ -447,7 +447,7 @@
             return;
         }
         if record.peer_address == self.this.peer_address {
-            self.this.incarnation = IncarnationId(record.incarnation.0 + 1);
+            self.this.incarnation = IncarnationId(record.incarnation.0.saturating_add(1));
             effects.push(ControlEffect::Publish);
             return;
         }
--- a/crates/dispatch/src/probe.rs
+++ b/crates/dispatch/src/probe.rs
@@ -5,7 +5,7 @@
 //! the lease. A new holder waits one full TTL before its first probe, because an earlier holder may
 //! still consider its lease valid even if the platform let it expire too early.
 
-use model::{MonoTime, ProbeRate, ServerName};
+use model::{MonoTime, ProbeRate, ServerName, bounded_duration};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -89,7 +89,7 @@
         if rate.0 <= 0.0 {
             return None;
         }
-        let interval = Duration::from_secs_f64(1.0 / rate.0);
+        let interval = bounded_duration(1.0 / rate.0);
         let last_sent = |server: &ServerName| self.last_sent.get(server).copied().unwrap_or(from);
         let next = servers.iter().min_by_key(|server| last_sent(server))?;
         if now.since(last_sent(next)) < interval {
--- a/crates/dispatch/src/rules.rs
+++ b/crates/dispatch/src/rules.rs
@@ -103,7 +103,7 @@
     fn choose(&mut self, servers: &[ServerView]) -> Option<usize> {
         let mut pick = || self.random.random_range(0..servers.len());
         let (first, second) = (pick(), pick());
-        let load = |index: usize| servers[index].external + servers[index].in_flight;
+        let load = |index: usize| servers[index].occupancy();
         Some(if load(second) < load(first) { second } else { first })
     }
 }
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -94,6 +94,13 @@
     pub state: ServerState,
 }
 
+impl ServerView {
+    /// Returns the number of requests in progress at the server, those of other instances included.
+    pub fn occupancy(&self) -> u32 {
+        self.in_flight.saturating_add(self.external)
+    }
+}
+
 /// Picks a backend server for the next request.
 pub trait DispatchRule: Send {
     /// Returns the index of the chosen server, or `None` to keep the request waiting. `servers` is
@@ -114,7 +121,7 @@
         self.turn = self.turn.wrapping_add(1);
         let count = servers.len();
         let turn = self.turn;
-        let is_free = |server: &ServerView| server.in_flight + server.external < server.slots;
+        let is_free = |server: &ServerView| server.occupancy() < server.slots;
         (0..count)
             .map(|offset| (turn.wrapping_add(offset)) % count)
             .filter(|index| is_free(&servers[*index]))
@@ -129,7 +136,7 @@
 
 /// Returns the filled share of a server's slots.
 fn filled_share(server: &ServerView) -> f64 {
-    f64::from(server.in_flight + server.external) / f64::from(server.slots.max(1))
+    f64::from(server.occupancy()) / f64::from(server.slots.max(1))
 }
 
 #[derive(Debug)]
@@ -276,8 +283,7 @@
         self.servers
             .iter()
             .filter(|state| state.is_usable(now))
-            .map(|state| state.config.slots.0)
-            .sum()
+            .fold(0, |total: u32, state| total.saturating_add(state.config.slots.0))
     }
 
     /// Whether any server is not leaving; otherwise no waiting request can ever get a slot.
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -258,7 +258,7 @@
     grant: &SlotGrant,
     left: Duration,
 ) -> Result<Request<Full<Bytes>>, http::Error> {
-    let depth = CallDepth(call.depth.0 + 1);
+    let depth = CallDepth(call.depth.0.saturating_add(1));
     let mut builder = Request::builder()
         .method(call.method.as_str())
         .uri(call.path.as_str())
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -177,7 +177,7 @@
     /// Raises the incarnation of this instance above `earlier` if it is not higher already.
     pub fn supersede(&mut self, earlier: IncarnationId) {
         if self.this.incarnation <= earlier {
-            self.this.incarnation = IncarnationId(earlier.0 + 1);
+            self.this.incarnation = IncarnationId(earlier.0.saturating_add(1));
         }
     }
 
--- a/crates/fleet/src/pull.rs
+++ b/crates/fleet/src/pull.rs
@@ -1,7 +1,7 @@
 //! Limits on pulls of store changes, which come from a whole data centre at once when relayed changes
 //! were lost or did not fit a datagram.
 
-use model::MonoTime;
+use model::{MonoTime, bounded_duration};
 use std::time::Duration;
 
 /// Bound on the first pull.
@@ -85,7 +85,7 @@
 
     /// Counts a snapshot of `bytes`.
     pub fn record_snapshot(&mut self, now: MonoTime, bytes: usize) {
-        let on_link = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        let on_link = bounded_duration(bytes as f64 / self.bytes_per_s);
         self.next_at = now.plus(on_link.max(SNAPSHOT_INTERVAL_MIN));
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -149,7 +149,7 @@
         guard.close(ExchangeOutcome::Broken);
         return ExchangeEnd::MayHaveRun("response to another request".into());
     }
-    if let Some(report) = parse_load_report(state, headers) {
+    if let Some(report) = parse_load_report(state, &key, headers) {
         state.queue().estimates.record_report(now, &key, report);
     }
     let status = response.status();
@@ -194,10 +194,20 @@
     ExchangeEnd::Answered(response)
 }
 
-/// Returns the load report in the headers of a response, if it has a valid one.
-pub(crate) fn parse_load_report(state: &GatewayState, headers: &HeaderMap) -> Option<LoadReport> {
-    let text = headers.get(&state.binding.headers().load)?.to_str().ok()?;
-    state.binding.load_report(text)
+/// Returns the load report in the headers of a response, if it has a valid one. A malformed one is
+/// logged and counted, and the server's earlier report stays in use.
+pub(crate) fn parse_load_report(
+    state: &GatewayState,
+    key: &ServerKey,
+    headers: &HeaderMap,
+) -> Option<LoadReport> {
+    let value = headers.get(&state.binding.headers().load)?;
+    let report = value.to_str().ok().and_then(|text| state.binding.load_report(text));
+    if report.is_none() {
+        state.metrics.malformed_header("load");
+        state.log.state("load_malformed", &format_smolstr!("{}: {value:?}", key.name));
+    }
+    report
 }
 
 /// Records the limit on the rate of its requests that a server named in a response, or that it named
@@ -208,6 +218,7 @@
         Some(value) => {
             let rate = value.to_str().ok().and_then(|text| state.binding.request_limit(text));
             if rate.is_none() {
+                state.metrics.malformed_header("limit");
                 state.log.state("limit_malformed", &format_smolstr!("{}: {value:?}", key.name));
                 return;
             }
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -251,7 +251,7 @@
         }
         Some(_) if response.status() == StatusCode::OK => {
             record_named_limit(state, &target.key, response.headers());
-            let report = parse_load_report(state, response.headers())?;
+            let report = parse_load_report(state, &target.key, response.headers())?;
             state.queue().estimates.record_report(now, &target.key, report);
             advance_queue(state);
             Some(load_row(&target.key, Some(report)))
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     exchanges: IntCounterVec,
     refused: IntCounterVec,
     rejected: IntCounterVec,
+    malformed_headers: IntCounterVec,
     /// Durations of complete exchanges with backend servers, in seconds.
     pub exchange_seconds: Histogram,
     /// Hedged requests sent.
@@ -99,6 +100,12 @@
                 "Requests that could not be accepted, by status",
                 &["status"],
             ),
+            malformed_headers: counters(
+                &registry,
+                "lacewing_malformed_headers_total",
+                "Headers of backend servers that could not be read, by header",
+                &["header"],
+            ),
             exchange_seconds: register(&registry, exchange.expect("names of metrics are valid")),
             hedges: counter(&registry, "lacewing_copies_total", "Second copies of slow requests"),
             probes: counter(&registry, "lacewing_probes_total", "Health checks sent"),
@@ -162,6 +169,11 @@
         self.rejected.with_label_values(&[&status.to_string()]).inc();
     }
 
+    /// Counts a header of a backend server that could not be read.
+    pub fn malformed_header(&self, header: &str) {
+        self.malformed_headers.with_label_values(&[header]).inc();
+    }
+
     /// Counts a call to the store by kind and outcome.
     pub fn store_call(&self, kind: &str, ok: bool) {
         self.store_calls.with_label_values(&[kind, if ok { "ok" } else { "failed" }]).inc();
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -5,6 +5,7 @@
     ExchangeOutcome, Placement, QueueDecision, QueueId, QueueRefusal, RefusalCause, RequestSpec,
 };
 use model::Millis;
+use smol_str::format_smolstr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -13,6 +14,9 @@
 /// is freed.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Retry delay of a request that the queue did not decide on.
+const LOST_RETRY_AFTER: Millis = Millis(100);
+
 /// A slot of a backend server. [`close`](Self::close) frees it with the outcome of the exchange;
 /// dropping the guard frees it as abandoned.
 pub(crate) struct SlotGuard {
@@ -78,14 +82,15 @@
     }
 }
 
-/// Queues a request and waits for a slot.
+/// Queues a request and waits for a slot, at most until the request's deadline.
 ///
 /// # Errors
-/// The queue refused the request; it did not run.
+/// The queue refused the request, or did not decide in time; it did not run.
 pub(crate) async fn acquire_slot(
     state: &Rc<GatewayState>,
     spec: RequestSpec,
 ) -> Result<SlotGuard, QueueRefusal> {
+    let deadline = state.clock.instant_of(spec.deadline);
     let (id, decision) = state.queue().submit(state.now(), spec);
     let decision = match decision {
         Some(decision) => decision,
@@ -95,12 +100,21 @@
             state.queue_wakeup.notify_one();
             let mut waiter =
                 QueueWaiter { state: Rc::clone(state), id, receiver, is_decided: false };
-            let decision = (&mut waiter.receiver).await;
-            waiter.is_decided = true;
-            decision.unwrap_or(QueueDecision::Refuse(QueueRefusal {
-                cause: RefusalCause::NoServer,
-                retry_after: Millis(100),
-            }))
+            match tokio::time::timeout_at(deadline.into(), &mut waiter.receiver).await {
+                Ok(Ok(decision)) => {
+                    waiter.is_decided = true;
+                    decision
+                }
+                // The queue refuses requests before their deadline, so it has lost this one.
+                Ok(Err(_)) | Err(_) => {
+                    state.log.state("queue_lost", &format_smolstr!("{id:?}"));
+                    let refusal = QueueRefusal {
+                        cause: RefusalCause::Expired,
+                        retry_after: LOST_RETRY_AFTER,
+                    };
+                    QueueDecision::Refuse(refusal)
+                }
+            }
         }
     };
     match decision {
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -88,6 +88,30 @@
     instance.close();
 }
 
+/// Guards against arithmetic on spoiled load figures: the first decision after one panicked, and with it
+/// every handler of the instance.
+#[test]
+fn a_spoiled_load_figure_harms_no_other_request() {
+    let (_store, server, instance) = start_with_server();
+    for round in 0..3 {
+        assert_eq!(call_work(&instance, "spoiled-load", &format!("spoiled-{round}")).status, 200);
+        let calls: Vec<_> = (0..10)
+            .map(|index| {
+                let (callers, id) = (instance.callers, format!("id-{round}-{index}"));
+                std::thread::spawn(move || call(callers, "POST", "/work/slow/", &id).status)
+            })
+            .collect();
+        for call in calls {
+            assert!([200, 503].contains(&call.join().expect("joined")));
+        }
+        wait_until("requests are served again", || {
+            call_work(&instance, "ok", &format!("after-{round}")).status == 200
+        });
+    }
+    assert!(server.ran().len() >= 6);
+    instance.close();
+}
+
 #[test]
 fn a_response_delimited_by_connection_close_is_complete() {
     let (_store, _server, instance) = start_with_server();
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -190,6 +190,10 @@
             _ => {}
         }
         match step {
+            "spoiled-load" => write!(
+                stream,
+                "{signed}t-load: 4294967295,0,6,9e99\r\ncontent-length: {length}\r\n\r\n{body}"
+            )?,
             "unsigned" => write!(stream, "{head}content-length: {length}\r\n\r\n{body}")?,
             "other" => write!(
                 stream,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -26,5 +26,5 @@
     ByteCount, CallDepth, ConfigVersion, ConnectionCount, HomeCount, IncarnationId, Millis,
     ProbeRate, RequestRate, SlotCount, StoreRevision,
 };
-pub use time::{MonoTime, ProcessClock};
+pub use time::{COMPUTED_DURATION_MAX, MonoTime, ProcessClock, bounded_duration};
 pub use verdict::RunVerdict;
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -4,6 +4,20 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+/// Longest duration that is computed from numbers of other processes. Far beyond any deadline, and small
+/// enough that sums and small multiples of such durations don't overflow.
+pub const COMPUTED_DURATION_MAX: Duration = Duration::from_secs(365 * 24 * 3_600);
+
+/// Converts computed seconds to a duration of at most [`COMPUTED_DURATION_MAX`]. Negative numbers give
+/// zero; what is not a number gives the longest duration.
+pub fn bounded_duration(seconds: f64) -> Duration {
+    if seconds <= 0.0 {
+        return Duration::ZERO;
+    }
+    let duration = Duration::try_from_secs_f64(seconds).unwrap_or(COMPUTED_DURATION_MAX);
+    duration.min(COMPUTED_DURATION_MAX)
+}
+
 /// Microseconds since the start of the process. Values of different processes must not be compared.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
--- a/crates/programs/src/bin/lacewing-load.rs
+++ b/crates/programs/src/bin/lacewing-load.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Result, bail};
 use bpaf::Bpaf;
-use model::ServiceName;
+use model::{ServiceName, bounded_duration};
 use programs::load::{LoadPlan, LoadReport, run_load};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -63,7 +63,7 @@
         entries: options.entry,
         service: options.service,
         rate: options.rate,
-        duration: Duration::from_secs_f64(options.seconds),
+        duration: bounded_duration(options.seconds),
         callers: options.callers,
         bookings: options.bookings,
         long_share: options.long,
--- a/crates/programs/src/load.rs
+++ b/crates/programs/src/load.rs
@@ -2,7 +2,7 @@
 
 use caller::{CallReport, CallerClient};
 use hdrhistogram::Histogram;
-use model::{RunVerdict, ServiceName};
+use model::{RunVerdict, ServiceName, bounded_duration};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -179,7 +179,7 @@
     while due < started + plan.duration {
         // Exponential gaps make the arrivals a Poisson process.
         let gap = -(1.0 - random.random::<f64>()).ln() / plan.rate;
-        due += Duration::from_secs_f64(gap);
+        due += bounded_duration(gap);
         tokio::time::sleep_until(due.into()).await;
         while tasks.try_join_next().is_some() {}
         if tasks.len() >= IN_PROGRESS_MAX {
--- a/crates/xtask/src/added.rs
+++ b/crates/xtask/src/added.rs
@@ -9,6 +9,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 use link::{ConnectionChoice, LinkPool, LinkPoolBuilder};
+use model::bounded_duration;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
@@ -143,7 +144,7 @@
     let mut tasks = JoinSet::new();
     let requests = (rate * RUN_DURATION.as_secs_f64()) as u64;
     for number in 0..requests {
-        let due = started + Duration::from_secs_f64(number as f64 / rate);
+        let due = started + bounded_duration(number as f64 / rate);
         tokio::time::sleep_until(due.into()).await;
         let address = path.addresses[number as usize % path.addresses.len()];
         tasks.spawn(send_request(pool.clone(), address, path.prefix.clone()));
--- a/crates/xtask/src/control.rs
+++ b/crates/xtask/src/control.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{FleetPlan, ProcessFleet};
 use crate::kernel_counters::{loopback_sent, processor_time, resident_bytes};
 use anyhow::{Context, Result};
+use model::bounded_duration;
 use std::time::{Duration, Instant};
 
 /// Delay before the measurement, after the configuration came into force.
@@ -75,7 +76,7 @@
     for change in 0..changes as u32 {
         let text = format!("alter service service-0 (keep_ms = {})", 1_000 + change);
         fleet.operator(0).send(&text, None).await?;
-        let interval = duration.div_f64(changes);
+        let interval = bounded_duration(duration.as_secs_f64() / changes);
         let due = end - duration + interval * (change + 1);
         tokio::time::sleep_until(due.into()).await;
     }
