--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -26,8 +26,8 @@
 };
 pub use processing::{ProcessingSample, ProcessingTimes};
 pub use queue::{
-    Placement, QueueDecision, QueueId, QueuePolicy, QueueRefusal, RefusalCause, RequestQueue,
-    RequestSpec,
+    Placement, QueueDecision, QueueId, QueuePolicy, QueueRefusal, QueueStop, RefusalCause,
+    RequestQueue, RequestSpec,
 };
 pub use rate_limit::RateAllowance;
 pub use reach::{ReachPlan, ServerReach};
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -27,6 +27,10 @@
 /// before its deadline.
 const DEADLINE_MARGIN_FACTOR: f64 = 0.8;
 
+/// While the instance stops, a request is sent only if this multiple of its expected duration fits
+/// before the exit. Servers may turn slow meanwhile.
+const EXIT_MARGIN_FACTOR: f64 = 3.0;
+
 /// Settings of a [`RequestQueue`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueuePolicy {
@@ -93,6 +97,8 @@
     TooLate,
     /// Too little time was left before the deadline while the request waited.
     Expired,
+    /// The instance stops, and too little time is left before its exit.
+    Stopping,
 }
 
 impl RefusalCause {
@@ -103,6 +109,7 @@
             Self::QueueFull => "queue_full",
             Self::TooLate => "too_late",
             Self::Expired => "expired",
+            Self::Stopping => "stopping",
         }
     }
 }
@@ -131,6 +138,15 @@
     spec: RequestSpec,
 }
 
+/// Times of a planned stop that bound the requests that the queue sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueStop {
+    /// Time at which the instance gives up on requests in progress.
+    pub exit_at: MonoTime,
+    /// Most time that is reserved before the exit for a request that is sent.
+    pub margin_max: Duration,
+}
+
 /// Priority, arrival time and id: the order in which waiting requests are served.
 type OrderKey = (u8, MonoTime, u64);
 
@@ -147,6 +163,8 @@
     budgets: HashMap<ServiceName, RetryWindow>,
     extra_share: f64,
     next_id: u64,
+    /// Set while the instance stops.
+    stop: Option<QueueStop>,
 }
 
 impl RequestQueue {
@@ -162,9 +180,16 @@
             budgets: HashMap::new(),
             extra_share: 0.0,
             next_id: 0,
+            stop: None,
         }
     }
 
+    /// Refuses from now on each request that can't be served before the instance exits, and those that
+    /// wait as soon as they no longer can.
+    pub fn begin_stop(&mut self, stop: QueueStop) {
+        self.stop = Some(stop);
+    }
+
     /// Returns the number of waiting requests over all services.
     pub fn waiting(&self) -> usize {
         self.waiting_count
@@ -195,10 +220,9 @@
         let id = QueueId(self.next_id);
         self.estimates.demands.record_request(now, &spec.service);
         let ahead = self.count_ahead(&spec);
-        let placed = self.place(now, &spec, ahead);
-        let decision = match placed {
+        let decision = match self.place(now, &spec, ahead) {
             PlacementDecision::Send(key, expected) => {
-                Some(QueueDecision::Send(self.start(now, id, key, expected)))
+                Some(self.send(now, id, &spec, key, expected))
             }
             PlacementDecision::NoServer => {
                 Some(refuse(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
@@ -209,6 +233,8 @@
                     Some(refuse(RefusalCause::QueueFull, wait))
                 } else if is_too_late {
                     Some(refuse(RefusalCause::TooLate, wait))
+                } else if !self.ends_before_exit(now.plus(wait), &spec, Duration::ZERO) {
+                    Some(refuse(RefusalCause::Stopping, RETRY_AFTER_MIN))
                 } else {
                     self.waiting_count += 1;
                     let order = (spec.priority, spec.arrived, id.0);
@@ -226,6 +252,16 @@
         now.plus(self.processing_time(spec).mul_f64(DEADLINE_MARGIN_FACTOR)) <= spec.deadline
     }
 
+    /// Whether a request that is sent at `sent` and takes `expected` probably ends before the instance
+    /// exits.
+    fn ends_before_exit(&self, sent: MonoTime, spec: &RequestSpec, expected: Duration) -> bool {
+        self.stop.is_none_or(|stop| {
+            let longest = self.processing_time(spec).max(expected);
+            let margin = longest.mul_f64(EXIT_MARGIN_FACTOR).min(stop.margin_max);
+            sent.plus(margin.max(expected)) <= stop.exit_at
+        })
+    }
+
     /// Places a hedged request at a free server that is expected to respond `within` this duration.
     /// Returns `None` if there is no such server, or if other requests of the service wait in
     /// front.
@@ -281,6 +317,21 @@
         self.placement_policy.place(&inputs)
     }
 
+    /// Sends a request to a server unless the instance exits before it would end.
+    fn send(
+        &mut self,
+        now: MonoTime,
+        id: QueueId,
+        spec: &RequestSpec,
+        key: ServerKey,
+        expected: Duration,
+    ) -> QueueDecision {
+        if !self.ends_before_exit(now, spec, expected) {
+            return refuse(RefusalCause::Stopping, RETRY_AFTER_MIN);
+        }
+        QueueDecision::Send(self.start(now, id, key, expected))
+    }
+
     fn start(
         &mut self,
         now: MonoTime,
@@ -363,13 +414,15 @@
             let id = request.id;
             let decision = if !self.can_meet_deadline(now, &request.spec) {
                 Some(refuse(RefusalCause::Expired, RETRY_AFTER_MIN))
+            } else if !self.ends_before_exit(now, &request.spec, Duration::ZERO) {
+                Some(refuse(RefusalCause::Stopping, RETRY_AFTER_MIN))
             } else if is_blocked {
                 None
             } else {
                 let spec = request.spec.clone();
                 match self.place(now, &spec, ahead) {
                     PlacementDecision::Send(key, expected) => {
-                        Some(QueueDecision::Send(self.start(now, id, key, expected)))
+                        Some(self.send(now, id, &spec, key, expected))
                     }
                     PlacementDecision::NoServer => {
                         Some(refuse(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -14,6 +14,8 @@
 
 /// `Retry-After` when the memory for bodies is used up.
 const BODY_MEMORY_RETRY_AFTER: Millis = Millis(200);
+/// `Retry-After` of an instance that is about to exit; others serve the request.
+const STOPPING_RETRY_AFTER: Millis = Millis(50);
 /// Longest wait of a request for the first snapshot of the store.
 const FIRST_SNAPSHOT_WAIT: Duration = Duration::from_millis(500);
 /// Interval between checks whether the first snapshot is read.
@@ -27,7 +29,11 @@
     request: Request<Incoming>,
 ) -> CallerResponse {
     let id = request.headers().get(&state.binding.headers().request_id).cloned();
-    let mut response = match accept_request(&state, request).await {
+    let accepted = tokio::select! {
+        accepted = accept_request(&state, request) => accepted,
+        () = state.wait_ending() => Err(RequestRejection::unavailable("stopping", STOPPING_RETRY_AFTER)),
+    };
+    let mut response = match accepted {
         Ok((routed, memory)) => {
             let response = serve_request(&state, routed).await;
             drop(memory);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -234,6 +234,8 @@
     history.tried.push(guard.placement().key.clone());
     history.attempts += 1;
     pending.push(start_exchange(state, routed, guard));
+    let ending = state.wait_ending();
+    tokio::pin!(ending);
     loop {
         let check = tokio::time::sleep_until(state.clock.instant_of(next_check).into());
         tokio::select! {
@@ -260,6 +262,12 @@
                     HedgeDecision::Never => can_hedge = false,
                 }
             }
+            () = &mut ending => {
+                history.may_have_run = true;
+                history.timed_out = true;
+                history.cause = "the instance stopped before the server responded".into();
+                return None;
+            }
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -111,6 +111,8 @@
     pub heartbeat_wakeup: Notify,
     /// Set to true to make all ports stop accepting and close their connections.
     pub closing: tokio::sync::watch::Sender<bool>,
+    /// Set shortly before the process exits; requests in progress are then answered at once.
+    pub ending: tokio::sync::watch::Sender<bool>,
 }
 
 impl GatewayState {
@@ -169,6 +171,7 @@
             limits_wakeup: Notify::new(),
             heartbeat_wakeup: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
+            ending: tokio::sync::watch::Sender::new(false),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
@@ -218,6 +221,12 @@
         }
     }
 
+    /// Waits until the process is about to exit.
+    pub async fn wait_ending(&self) {
+        // The sender is part of this state, so the wait can't fail.
+        let _ = self.ending.subscribe().wait_for(|is_ending| *is_ending).await;
+    }
+
     pub fn is_stopping(&self) -> bool {
         self.phase.get() == RunPhase::Stopping
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,7 +2,10 @@
 
 use crate::records::refresh_fleet;
 use crate::settings_file::read_settings;
+use crate::slots::advance_queue;
 use crate::state::{GatewayState, RunPhase};
+use balance::QueueStop;
+use model::MonoTime;
 use smol_str::format_smolstr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -11,6 +14,11 @@
 
 /// Time before the end of the grace period at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the exit at which requests in progress are answered without their servers' responses.
+const ANSWER_PERIOD: Duration = Duration::from_millis(100);
+/// Largest share of the time until the exit that is reserved for a request that was sent. Waiting
+/// requests are refused when it begins.
+const EXIT_MARGIN_SHARE: f64 = 0.25;
 /// Smallest share of the grace period in which requests are still accepted.
 const ACCEPT_SHARE_MIN: f64 = 0.4;
 /// Time in which callers may still use cached addresses of this instance, as a multiple of the
@@ -27,6 +35,9 @@
     /// Time after which the instance accepts no more requests and closes each connection after its
     /// last response.
     pub close_after: Duration,
+    /// Time after which the instance answers the requests in progress itself. Before, it refuses
+    /// waiting requests that no longer end by then.
+    pub answer_after: Duration,
     /// Time after which the process exits.
     pub exit_after: Duration,
 }
@@ -38,7 +49,16 @@
         let exit_after = grace.saturating_sub(EXIT_MARGIN);
         let close_after =
             exit_after.saturating_sub(longest_timeout).max(grace.mul_f64(ACCEPT_SHARE_MIN));
-        Self { close_after: close_after.min(exit_after), exit_after }
+        let answer_after = exit_after.saturating_sub(ANSWER_PERIOD);
+        Self { close_after: close_after.min(answer_after), answer_after, exit_after }
+    }
+
+    /// Returns the times that bound the requests that the queue sends, for a stop requested at `now`.
+    fn queue_stop(&self, now: MonoTime) -> QueueStop {
+        QueueStop {
+            exit_at: now.plus(self.answer_after),
+            margin_max: self.answer_after.mul_f64(EXIT_MARGIN_SHARE),
+        }
     }
 }
 
@@ -67,6 +87,9 @@
     let longest_timeout =
         state.table().map(|table| table.longest_timeout().duration()).unwrap_or_default();
     let plan = StopPlan::new(state.settings().stop_grace.duration(), longest_timeout);
+    let stop = plan.queue_stop(state.now());
+    state.queue().begin_stop(stop);
+    advance_queue(&state);
     let close_at = started + plan.close_after;
     let cached_until = started + state.settings().directory_ttl.duration() * DIRECTORY_TTL_FACTOR;
     loop {
@@ -78,15 +101,21 @@
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     }
     state.closing.send_replace(true);
-    let exit_at = started + plan.exit_after;
-    while state.connections.get() > 0 && tokio::time::Instant::now() < exit_at {
-        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-    }
+    wait_connections_closed(&state, started + plan.answer_after).await;
+    state.ending.send_replace(true);
+    wait_connections_closed(&state, started + plan.exit_after).await;
     state.log.state("stopped", &format_smolstr!("{} connections left", state.connections.get()));
     state.log.flush();
     Ok(())
 }
 
+/// Waits until all connections of callers are closed, at most until `until`.
+async fn wait_connections_closed(state: &GatewayState, until: tokio::time::Instant) {
+    while state.connections.get() > 0 && tokio::time::Instant::now() < until {
+        tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+}
+
 /// Reloads the settings file when it changes. `SIGHUP` checks it at once and logs the result even
 /// without a change.
 pub(crate) async fn run_reload(state: Rc<GatewayState>, file: PathBuf) -> anyhow::Result<()> {
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 use support::backend::{Behaviour, ScriptedBackend};
 use support::client::{call, connect, exchange, read_response, request};
-use support::fixture::{call_work, start_with_server, wait_until, write_server_record};
+use support::fixture::{
+    call_work, start_with_config, start_with_server, wait_until, write_server_record,
+};
 use testkit::cases;
 
 /// Sends a non-idempotent request to the route `work`; checks its status and how often it ran.
@@ -251,6 +253,48 @@
     instance.close();
 }
 
+/// A planned stop of an overloaded instance: each request is answered, truthfully, before the process
+/// exits. Guards against requests that waited in the queue until the exit and were closed without an
+/// answer. `timeout` and `deadline` in milliseconds; the grace period is three seconds.
+fn check_stop_under_load(step: &str, timeout: u64, deadline: u64) {
+    let (_store, server, mut instance) = start_with_config(&format!("1 {timeout}"));
+    let callers = instance.callers;
+    let send = move |id: String, path: String| {
+        let bytes = format!(
+            "POST {path} HTTP/1.1\r\nhost: shop.example\r\nt-id: {id}\r\n\
+             t-deadline: {deadline}\r\ncontent-length: 0\r\n\r\n"
+        );
+        (exchange(&mut connect(callers), bytes.as_bytes()), id)
+    };
+    let calls: Vec<_> = (0..80)
+        .map(|index| {
+            let path = format!("/work/{step}/");
+            std::thread::spawn(move || send(format!("id-{index}"), path))
+        })
+        .collect();
+    wait_until("the server works", || !server.ran().is_empty());
+    instance.ask_stop();
+    let mut statuses = Vec::new();
+    for call in calls {
+        let (response, id) = call.join().expect("joined");
+        let has_run = server.ran().contains(&id);
+        assert!([200, 503, 504].contains(&response.status), "{id}: {response:?}");
+        assert!(response.status != 503 || !has_run, "{id} was refused as not run, but it ran");
+        statuses.push(response.status);
+    }
+    let count = |status: u16| statuses.iter().filter(|known| **known == status).count();
+    assert!(count(503) > 0, "nothing was refused");
+    assert_eq!(count(200) + count(504), server.ran().len());
+    assert_eq!(count(200) > 0, step == "slow", "{statuses:?}");
+    instance.close();
+}
+
+cases! { check_stop_under_load {
+    timeout_beyond_the_grace_period: ("slow", 10_000, 9_000);
+    timeout_of_most_of_the_grace_period: ("slow", 2_400, 2_400);
+    server_that_never_responds: ("hang", 10_000, 9_000);
+} }
+
 #[test]
 fn metrics_and_directory_are_served() {
     let (_store, _server, instance) = start_with_server();
