--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -13,8 +13,8 @@
 use http_body_util::Full;
 use link::{ConnectionChoice, LinkError, SendState};
 use model::wire::{
-    DEADLINE_HEADER, DEPTH_HEADER, DRAIN_HEADER, IDEMPOTENCY_HEADER, LOAD_HEADER, REQUEST_HEADER,
-    SHED_HEADER,
+    DEADLINE_HEADER, DEPTH_HEADER, DRAIN_HEADER, EXCHANGE_HEADER, IDEMPOTENCY_HEADER, LOAD_HEADER,
+    REQUEST_HEADER, SHED_HEADER,
 };
 use model::{CallDepth, InstanceName, Leaving, MonoTime, RunVerdict, ServerName, WorkClass};
 use peer::{ForwardCall, ForwardReply};
@@ -169,7 +169,7 @@
     let grant = guard.grant().clone();
     let call = local.call;
     let now = traffic.clock.now();
-    let request = match backend_request(call, &grant, local.deadline.since(now)) {
+    let request = match backend_request(traffic, call, &grant, local.deadline.since(now)) {
         Ok(request) => request,
         Err(cause) => {
             guard.close(SlotOutcome::Abandoned, None);
@@ -237,7 +237,12 @@
         }
         SendState::MaybeSent => {
             let timed_out = matches!(cause, LinkError::ResponseTimeout);
-            count_exchange(traffic, if timed_out { "timed_out" } else { "broken" });
+            let label = match cause {
+                LinkError::ResponseTimeout => "timed_out",
+                LinkError::OtherResponse => "stray",
+                _ => "broken",
+            };
+            count_exchange(traffic, label);
             let outcome = if timed_out { SlotOutcome::TimedOut } else { SlotOutcome::Broken };
             guard.close(outcome, None);
             AttemptOutcome::MayHaveRun(cause.to_smolstr())
@@ -254,6 +259,7 @@
 }
 
 fn backend_request(
+    traffic: &TrafficState,
     call: &ForwardCall,
     grant: &SlotGrant,
     left: Duration,
@@ -264,6 +270,7 @@
         .uri(call.path.as_str())
         .header(header::HOST, grant.address.to_smolstr().as_str())
         .header(REQUEST_HEADER, call.request.as_str())
+        .header(EXCHANGE_HEADER, traffic.new_exchange())
         .header(DEPTH_HEADER, depth.0)
         .header(DEADLINE_HEADER, u64::try_from(left.as_millis()).unwrap_or(u64::MAX));
     if let Some(ticket) = &call.ticket {
--- a/crates/entry/src/traffic.rs
+++ b/crates/entry/src/traffic.rs
@@ -5,7 +5,9 @@
 use arc_swap::ArcSwap;
 use control::{ControlEvent, FleetView};
 use dispatch::{ServerSlots, TicketEnd, TicketKey, TicketLimits, TicketSerial, TicketTable};
+use http::HeaderName;
 use link::{LinkPool, LinkPoolBuilder};
+use model::wire::EXCHANGE_HEADER;
 use model::{
     ConfigDocument, IncarnationId, InstanceName, Leaving, MonoTime, ProcessClock, RequestId,
     ServiceConfig, ServiceName, SlotCount,
@@ -55,6 +57,7 @@
     avoided: Mutex<HashMap<InstanceName, MonoTime>>,
     peer_contacts: Mutex<HashMap<InstanceName, MonoTime>>,
     next_request: AtomicU64,
+    next_exchange: AtomicU64,
     /// Set at the stop limit; requests in progress are then answered at once.
     ending: watch::Sender<bool>,
 }
@@ -74,7 +77,9 @@
             view: ArcSwap::from_pointee(view),
             ring,
             metrics: EntryMetrics::default(),
-            pool: LinkPoolBuilder::default().build(),
+            pool: LinkPoolBuilder::default()
+                .identity(HeaderName::from_static(EXCHANGE_HEADER))
+                .build(),
             peers,
             control,
             tickets: Mutex::new(TicketTable::new(TicketLimits::default())),
@@ -84,6 +89,7 @@
             avoided: Mutex::default(),
             peer_contacts: Mutex::default(),
             next_request: AtomicU64::new(0),
+            next_exchange: AtomicU64::new(0),
             ending: watch::Sender::new(false),
             settings,
         }
@@ -151,6 +157,11 @@
         text.parse().expect("hexadecimal digits and dashes form a name")
     }
 
+    /// Returns a number for an exchange with a backend server, different for each one of this process.
+    pub(crate) fn new_exchange(&self) -> u64 {
+        self.next_exchange.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Whether this instance has had no contact with the store or any other instance for too long.
     /// Always false with the policy `serve` or while no other member is known.
     pub fn is_isolated(&self, view: &FleetView) -> bool {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -231,6 +231,11 @@
 fn classify_failure(state: &Rc<GatewayState>, guard: SlotGuard, cause: &LinkError) -> ExchangeEnd {
     let send_state = cause.send_state();
     let (label, outcome) = match (send_state, cause) {
+        (_, LinkError::OtherResponse) => {
+            let key = guard.placement().key.clone();
+            state.queue().estimates.record_desync(state.now(), &key);
+            ("stray", ExchangeOutcome::Broken)
+        }
         (SendState::NotSent, LinkError::ConnectionLimit) => ("limit", ExchangeOutcome::Shed),
         (SendState::NotSent, _) => ("unreachable", ExchangeOutcome::Unreachable),
         (_, LinkError::ResponseTimeout) => ("timed_out", ExchangeOutcome::TimedOut),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -130,6 +130,7 @@
             .response_limit(RESPONSE_MAX_BYTES)
             .connection_limit(SERVER_CONNECTIONS_MAX)
             .accepts_unframed(true)
+            .identity(binding.headers().request_id.clone())
             .body_memory(memory_share(&settings, RESPONSE_BODY_SHARE))
             .build();
         let policy = QueuePolicy {
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -140,6 +140,70 @@
     instance.close();
 }
 
+/// Guards against a refusal that a server sends once more, late, on a connection that is in use again: the
+/// request in progress is neither refused as not run nor sent to a second server.
+fn check_repeated_refusal(method: &str, route: &str) {
+    let (store, first, instance) = start_with_server();
+    let second = ScriptedBackend::start("second");
+    write_server_record(&store, &second, "ready");
+    wait_until("both servers are used", || {
+        call_work(&instance, "ok", "warm");
+        !first.ran().is_empty() && !second.ran().is_empty()
+    });
+    let repeated = || {
+        let count = |server: &ScriptedBackend| server.record.lock().expect("record").repeated;
+        count(&first) + count(&second)
+    };
+    let mut round = 0;
+    wait_until("refusals were repeated", || {
+        round += 1;
+        call(instance.callers, "POST", "/work/shed-again/", &format!("shed-{round}"));
+        let path = format!("/{route}/ok/");
+        let id = format!("id-{round}");
+        let response = call(instance.callers, method, &path, &id);
+        assert!([200, 502].contains(&response.status), "{response:?}");
+        if response.status == 200 {
+            assert_eq!(response.header("t-id"), Some(id.as_str()));
+        }
+        repeated() >= 5
+    });
+    let mut ran = [first.ran(), second.ran()].concat();
+    ran.retain(|id| id.starts_with("id-"));
+    let (total, _) = (ran.len(), ran.sort());
+    ran.dedup();
+    assert!(method == "GET" || ran.len() == total, "a request ran twice");
+    instance.close();
+}
+
+cases! { check_repeated_refusal {
+    before_a_booking: ("POST", "work");
+    before_a_lookup: ("GET", "look");
+} }
+
+/// Guards against a success without the server's whole body when the server stops within the head of its
+/// response and closes: every length of the head but the whole one is a failure.
+#[test]
+fn a_head_that_is_cut_is_no_response() {
+    let (_store, _server, instance) = start_with_server();
+    for length in 0..90 {
+        let bytes =
+            request("POST", "/work/cut-head/", &format!("id-{length}"), &length.to_string());
+        let response = exchange(&mut connect(instance.callers), &bytes);
+        assert_eq!((response.status, response.header("t-signature")), (502, None), "{length}");
+    }
+    instance.close();
+}
+
+/// Guards against a head that is cut and continued by the head of another response.
+#[test]
+fn two_heads_in_one_are_no_response() {
+    let (_store, _server, instance) = start_with_server();
+    let response = call_work(&instance, "glued-heads", "id-1");
+    assert_eq!((response.status, response.header("t-signature")), (502, None));
+    assert_eq!(call_work(&instance, "ok", "id-2").status, 200);
+    instance.close();
+}
+
 /// The first server does not run the request, and the second one serves it.
 fn check_second_server(behaviour: Behaviour) {
     let (store, first, instance) = start_with_server();
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -28,6 +28,8 @@
     ResponseTimeout,
     /// More informational (1xx) heads arrived than any server sends before a response.
     InformationalFlood,
+    /// The response belongs to another request, or does not say to which one.
+    OtherResponse,
     /// The response body is longer than the limit.
     ResponseTooLong,
     /// The memory for response bodies in progress is used up.
@@ -47,6 +49,7 @@
             Self::Broken(_)
             | Self::ResponseTimeout
             | Self::InformationalFlood
+            | Self::OtherResponse
             | Self::ResponseTooLong
             | Self::ResponseMemory
             | Self::ResponseUnframed => SendState::MaybeSent,
@@ -70,6 +73,7 @@
             Self::InformationalFlood => {
                 f.write_str("too many informational heads before a response")
             }
+            Self::OtherResponse => f.write_str("response to another request"),
             Self::ResponseTooLong => f.write_str("response body exceeds the length limit"),
             Self::ResponseMemory => f.write_str("memory for response bodies is used up"),
             Self::ResponseUnframed => {
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -3,7 +3,7 @@
 use crate::body::{BodyBudget, BodyError, read_body};
 use crate::error::LinkError;
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -51,6 +51,7 @@
     response_limit: usize,
     connection_limit: usize,
     accepts_unframed: bool,
+    identity: Option<HeaderName>,
     body_budget: BodyBudget,
 }
 
@@ -62,6 +63,7 @@
             response_limit: 4 * 1024 * 1024,
             connection_limit: 240,
             accepts_unframed: false,
+            identity: None,
             body_budget: BodyBudget::new(BODY_MEMORY_DEFAULT),
         }
     }
@@ -106,6 +108,15 @@
         self
     }
 
+    /// Sets the header that names a request and that servers repeat in its response. A response with
+    /// another value, or with several, belongs to another request: the exchange fails and its connection
+    /// is closed. So does one without a value on a connection that was used before; on a new connection
+    /// it is accepted, but the connection is not used again.
+    pub fn identity(mut self, header: HeaderName) -> Self {
+        self.identity = Some(header);
+        self
+    }
+
     /// Creates the pool.
     pub fn build(self) -> LinkPool {
         LinkPool { settings: self, addresses: Arc::default() }
@@ -137,6 +148,29 @@
     addresses: Arc<Mutex<AddressMap>>,
 }
 
+/// What the identity header of a response shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResponseIdentity {
+    /// The response belongs to the request.
+    Same,
+    /// The response does not say which request it belongs to.
+    Unnamed,
+    /// The response belongs to another request.
+    Other,
+}
+
+impl ResponseIdentity {
+    fn new(requested: Option<&HeaderValue>, headers: &HeaderMap, name: &HeaderName) -> Self {
+        let mut values = headers.get_all(name).iter();
+        match (requested, values.next(), values.next()) {
+            (Some(_), None, _) => Self::Unnamed,
+            (None, None, _) => Self::Same,
+            (Some(requested), Some(value), None) if value == requested => Self::Same,
+            _ => Self::Other,
+        }
+    }
+}
+
 /// Counts one connection as open until the guard is dropped.
 struct OpenGuard {
     addresses: Arc<Mutex<AddressMap>>,
@@ -171,9 +205,13 @@
         deadline: Instant,
     ) -> Result<Response<Bytes>, LinkError> {
         let started = Instant::now();
+        let identity = self.settings.identity.as_ref();
+        let requested = identity.and_then(|name| request.headers().get(name)).cloned();
         let mut request = request;
         loop {
-            let mut sender = match self.take_idle(address, choice) {
+            let idle = self.take_idle(address, choice);
+            let is_reused = idle.is_some();
+            let mut sender = match idle {
                 Some(sender) => sender,
                 None => self.open(address, deadline).await?,
             };
@@ -198,6 +236,19 @@
                 },
                 Ok(Ok(response)) => response,
             };
+            let identity = identity.map_or(ResponseIdentity::Same, |name| {
+                ResponseIdentity::new(requested.as_ref(), response.headers(), name)
+            });
+            match identity {
+                ResponseIdentity::Same => {}
+                // No other response can arrive on a connection that served no other request.
+                ResponseIdentity::Unnamed if !is_reused => {
+                    return self.read_last_response(address, response, started, deadline).await;
+                }
+                ResponseIdentity::Unnamed | ResponseIdentity::Other => {
+                    return Err(LinkError::OtherResponse);
+                }
+            }
             return self.read_response(address, sender, response, started, deadline).await;
         }
     }
@@ -210,12 +261,27 @@
         started: Instant,
         deadline: Instant,
     ) -> Result<Response<Bytes>, LinkError> {
-        let (parts, body) = response.into_parts();
-        let is_framed = body.size_hint().exact().is_some()
-            || parts.headers.contains_key(header::TRANSFER_ENCODING);
-        if !is_framed && !self.settings.accepts_unframed {
+        let is_framed = is_framed(&response);
+        let response = self.read_last_response(address, response, started, deadline).await?;
+        if is_framed {
+            let idle_timeout = self.idle_timeout_of(response.headers());
+            self.keep_idle(address, sender, started, idle_timeout);
+        }
+        Ok(response)
+    }
+
+    /// Reads the rest of a response without keeping its connection.
+    async fn read_last_response(
+        &self,
+        address: SocketAddr,
+        response: Response<Incoming>,
+        started: Instant,
+        deadline: Instant,
+    ) -> Result<Response<Bytes>, LinkError> {
+        if !is_framed(&response) && !self.settings.accepts_unframed {
             return Err(LinkError::ResponseUnframed);
         }
+        let (parts, body) = response.into_parts();
         let reading = read_body(body, self.settings.response_limit, &self.settings.body_budget);
         let (body, _held) = match tokio::time::timeout_at(deadline.into(), reading).await {
             Err(_) => {
@@ -224,10 +290,6 @@
             }
             Ok(read) => read.map_err(body_error)?,
         };
-        if is_framed {
-            let idle_timeout = self.idle_timeout_of(&parts.headers);
-            self.keep_idle(address, sender, started, idle_timeout);
-        }
         Ok(Response::from_parts(parts, body))
     }
 
@@ -351,6 +413,12 @@
     }
 }
 
+/// Whether a response states where it ends.
+fn is_framed(response: &Response<Incoming>) -> bool {
+    response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns what is notified once the server has sent more informational heads than it may. Without
 /// that the parser would go on with them until the deadline, and little else on this thread would run.
 fn detect_flood(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
--- a/crates/model/src/wire.rs
+++ b/crates/model/src/wire.rs
@@ -15,6 +15,9 @@
 pub const DEPTH_HEADER: &str = "lacewing-depth";
 /// Id of the request, the same in all processes that handle it.
 pub const REQUEST_HEADER: &str = "lacewing-request";
+/// Id of one exchange with a backend server, which repeats it in its response. Every exchange has its own,
+/// also those of one request.
+pub const EXCHANGE_HEADER: &str = "lacewing-exchange";
 /// Ticket of a non-idempotent request.
 pub const TICKET_HEADER: &str = "lacewing-ticket";
 /// Key of a non-idempotent request that the caller chose; also sent to backend servers.
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -4,15 +4,16 @@
 use crate::ledger::{LedgerReport, RunLedger};
 use axum::Router;
 use axum::body::Body;
-use axum::extract::{Query, State};
+use axum::extract::{Query, Request, State};
+use axum::middleware::Next;
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::{any, get, post};
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use link::{HttpServer, serve_limited};
 use model::wire::{
-    CALL_PATH, DEADLINE_HEADER, DEPTH_HEADER, DRAIN_HEADER, IDEMPOTENCY_HEADER, LOAD_HEADER,
-    REQUEST_HEADER, SHED_HEADER,
+    CALL_PATH, DEADLINE_HEADER, DEPTH_HEADER, DRAIN_HEADER, EXCHANGE_HEADER, IDEMPOTENCY_HEADER,
+    LOAD_HEADER, REQUEST_HEADER, SHED_HEADER,
 };
 use model::{Millis, ServerName};
 use rand::rngs::SmallRng;
@@ -197,6 +198,7 @@
             .route(BACKEND_FAULTS_PATH, post(set_faults))
             .route(PROBES_PATH, get(probes))
             .fallback(any(handle_request))
+            .layer(axum::middleware::from_fn(echo_exchange))
             .with_state(Arc::clone(&shared));
         let handle = tokio::runtime::Handle::current();
         let connections = shared.settings.connections;
@@ -258,6 +260,16 @@
     chain_left: Option<u32>,
 }
 
+/// Repeats the exchange id of a request in its response.
+async fn echo_exchange(request: Request, next: Next) -> Response {
+    let exchange = request.headers().get(EXCHANGE_HEADER).cloned();
+    let mut response = next.run(request).await;
+    if let Some(exchange) = exchange {
+        response.headers_mut().insert(EXCHANGE_HEADER, exchange);
+    }
+    response
+}
+
 async fn handle_request(
     State(shared): BackendContext,
     method: Method,
