review: a planned stop beside longer timeouts breaks requests off

Two instances run, one gets SIGTERM, and 0.5 s later a configuration raises the routes' timeouts. Bookings that the stopping instance accepts 3.2 s to 4 s after the signal are answered 504 at 5.6 s while their server is at work, with up to a second left of the time budget and of the route's timeout.

At fault: StopPlan (crates/gateway/src/stop.rs) is computed once, at the signal, from the configuration then in force. A later one applies to the requests, not to the plan.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,392 @@
+//! The cases.
+
+use crate::gateway::Gateway;
+use crate::http::{header, Connection, Request, Response};
+use crate::record::Record;
+use crate::store::Store;
+use crate::upstream::{Shared, Upstream, HEALTH_PATH, REQUEST_ID};
+use crate::{Rig, Verdict};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const HOST: &str = "shop.example";
+const SERVICE: &str = "orders";
+
+pub fn play(case: &str, rig: &Rig) -> Result<Verdict, String> {
+    match case {
+        "stop-timeout" => stop_timeout(rig),
+        "stop-window" => stop_window(rig),
+        "watch-cut" => watch_cut(rig),
+        "check-quiet" => check_quiet(rig),
+        _ => Err(format!("unknown case {case}")),
+    }
+}
+
+/// A configuration with a `safe` route `/look/` and an `unsafe` route `/book/` to one service.
+fn config(version: u64, look_timeout_s: f64, book_timeout_s: f64) -> String {
+    format!(
+        "{{\"version\":\"r{version}\",\"services\":[{{\"name\":\"{SERVICE}\",\"health_path\":\"{HEALTH_PATH}\",\
+         \"max_conns\":240,\"protocol\":\"h1\",\"tls\":false}}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_s\":3,\
+         \"idle_timeout_s\":15}},\
+         \"hosts\":[{{\"host\":\"{HOST}\",\"paths\":[\
+         {{\"name\":\"look\",\"prefix\":\"/look/\",\"type\":\"safe\",\"timeout_s\":{look_timeout_s},\
+         \"goal_s\":0.6,\"priority\":2,\"service\":\"{SERVICE}\",\"attempts\":2}},\
+         {{\"name\":\"book\",\"prefix\":\"/book/\",\"type\":\"unsafe\",\"timeout_s\":{book_timeout_s},\
+         \"goal_s\":0.8,\"priority\":1,\"service\":\"{SERVICE}\",\"attempts\":2}}]}}]}}"
+    )
+}
+
+fn put_config(store: &Store, record: &Record, version: u64, look_s: f64, book_s: f64) -> Instant {
+    let at = store.put("op/config", &config(version, look_s, book_s));
+    let text = format!("config r{version} acknowledged: look {look_s} s, book {book_s} s");
+    record.line_at(at, &text);
+    at
+}
+
+/// One client attempt and its end.
+#[derive(Debug, Clone)]
+struct Attempt {
+    id: String,
+    sent_at: Instant,
+    ended_at: Instant,
+    /// `None` if the connection ended without a whole answer.
+    response: Option<Response>,
+}
+
+impl Attempt {
+    fn is_served(&self) -> bool {
+        self.response.as_ref().is_some_and(|response| response.status == 200)
+    }
+}
+
+fn request(id: &str, method: &str, path: &str, deadline_ms: u64) -> Request {
+    let headers = vec![
+        ("Host".to_owned(), HOST.to_owned()),
+        (REQUEST_ID.to_owned(), id.to_owned()),
+        ("X-Lacewingshelf-Deadline-Ms".to_owned(), deadline_ms.to_string()),
+    ];
+    let body = if method == "GET" { Vec::new() } else { vec![b'x'; 4_000] };
+    Request { method: method.to_owned(), target: path.to_owned(), headers, body }
+}
+
+/// Sends one request on a new connection.
+fn attempt(record: &Record, address: SocketAddr, request: &Request, wait: Duration) -> Attempt {
+    let id = header(&request.headers, REQUEST_ID).unwrap_or("-").to_owned();
+    let sent_at = Instant::now();
+    let response = Connection::open(address, wait).and_then(|mut open| open.call(request)).ok();
+    let ended_at = Instant::now();
+    let took = ended_at.duration_since(sent_at).as_millis();
+    record.line_at(sent_at, &format!("client sends {id} {} {}", request.method, request.target));
+    let end =
+        response.as_ref().map_or("no whole answer".to_owned(), |r| format!("status {}", r.status));
+    record.line_at(ended_at, &format!("client gets {end} for {id} after {took} ms"));
+    Attempt { id, sent_at, ended_at, response }
+}
+
+type Attempts = Arc<Mutex<Vec<Attempt>>>;
+
+/// Sends requests at a fixed interval, each on a connection of its own, until `until`. Returns when all
+/// have ended.
+fn send_steadily(
+    record: &Record,
+    address: SocketAddr,
+    interval: Duration,
+    until: Instant,
+    make: impl Fn(u32) -> Request,
+) -> Vec<Attempt> {
+    let attempts = Attempts::default();
+    let mut senders = Vec::new();
+    let start = Instant::now();
+    for number in 0_u32.. {
+        let at = start + interval * number;
+        if at >= until {
+            break;
+        }
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        let (record, request, attempts) = (record.clone(), make(number), Arc::clone(&attempts));
+        senders.push(std::thread::spawn(move || {
+            let ended = attempt(&record, address, &request, Duration::from_secs(8));
+            attempts.lock().unwrap().push(ended);
+        }));
+    }
+    for sender in senders {
+        let _ = sender.join();
+    }
+    let attempts = attempts.lock().unwrap().clone();
+    attempts
+}
+
+/// Upstreams of which each request takes `work`, and one to `/straggler` `straggler_work`.
+fn start_working_upstreams(
+    record: &Record,
+    store: &Store,
+    count: usize,
+    work: Duration,
+    straggler_work: Duration,
+) -> Vec<Upstream> {
+    let behaviour = Arc::new(move |request: &Request, shared: &Shared, stream: &TcpStream| {
+        if request.path() == HEALTH_PATH {
+            return Some(shared.healthy());
+        }
+        let id = header(&request.headers, REQUEST_ID).unwrap_or("-").to_owned();
+        let left =
+            header(&request.headers, "X-Lacewingshelf-Deadline-Ms").unwrap_or("-").to_owned();
+        shared.record.line(&format!("{} runs {id}, {left} ms left", shared.id));
+        let is_straggler = request.path().ends_with("/straggler");
+        if !shared.work(request, stream, if is_straggler { straggler_work } else { work }) {
+            return None;
+        }
+        shared.record.line(&format!("{} ends {id}", shared.id));
+        Some(shared.success(request, "done"))
+    });
+    let start = |number| Upstream::start(&format!("i-{number}"), 6, record, behaviour.clone());
+    let upstreams: Vec<Upstream> = (1..=count).map(start).collect();
+    for upstream in &upstreams {
+        store.put(&format!("servers/{}", upstream.shared.id), &upstream.entry(SERVICE));
+    }
+    upstreams
+}
+
+/// Starts two instances and waits until they are ready.
+fn start_pair(rig: &Rig, store: &Store) -> Result<Vec<Gateway>, String> {
+    let first = Gateway::start(&rig.program, &rig.folder, "front-1", store.address, &[]);
+    let second =
+        Gateway::start(&rig.program, &rig.folder, "front-2", store.address, &[first.peers]);
+    if !first.wait_ready() || !second.wait_ready() {
+        return Err("an instance did not become ready".into());
+    }
+    Ok(vec![first, second])
+}
+
+/// Sends bookings for some seconds, all of which must be served.
+fn warm_up(record: &Record, gateway: &Gateway) -> Result<(), String> {
+    let until = Instant::now() + Duration::from_secs(6);
+    let attempts = send_steadily(record, gateway.callers, Duration::from_millis(50), until, |n| {
+        request(&format!("warm-{n}"), "POST", "/book/normal", 3_000)
+    });
+    match attempts.iter().all(Attempt::is_served) {
+        true => Ok(()),
+        false => Err("a request failed before the disruption".into()),
+    }
+}
+
+/// Checks that the directory sends clients to the instance.
+fn check_listed(record: &Record, gateway: &Gateway) -> Result<(), String> {
+    let known = gateway.look_up(HOST).ok_or("the directory does not answer")?;
+    record.line(&format!("clients look up: {known}"));
+    match known.contains(&gateway.callers.to_string()) {
+        true => Ok(()),
+        false => Err("the directory does not name the instance".into()),
+    }
+}
+
+/// Requests that were sent later than 3 s after the stop began, were at work at an upstream, ended before
+/// `bound`, the nearer of their time budget and their route's timeout, and got no answer of the upstream.
+fn broken_off<'a>(
+    attempts: &'a [Attempt],
+    upstreams: &[Upstream],
+    stopped_at: Instant,
+    bound: Duration,
+) -> Vec<&'a Attempt> {
+    let broken_runs: Vec<String> = upstreams
+        .iter()
+        .flat_map(|upstream| upstream.shared.broken_runs.lock().unwrap().clone())
+        .collect();
+    let is_lost = |attempt: &&Attempt| {
+        attempt.sent_at > stopped_at + Duration::from_secs(3)
+            && attempt.ended_at < attempt.sent_at + bound
+            && !attempt.is_served()
+            && broken_runs.contains(&attempt.id)
+    };
+    attempts.iter().filter(is_lost).collect()
+}
+
+fn lost_verdict(lost: &[&Attempt], attempts: &[Attempt], rig: &Rig) -> Verdict {
+    for attempt in lost {
+        let took = (attempt.ended_at - attempt.sent_at).as_millis();
+        rig.record.line(&format!("lost: {} after {took} ms", attempt.id));
+    }
+    let text = format!(
+        "{} of {} requests were broken off while an upstream was at work on them, with time left",
+        lost.len(),
+        attempts.len()
+    );
+    Verdict { held: lost.is_empty(), text }
+}
+
+/// A planned stop beside a configuration that raises the routes' timeouts. Clients looked up the addresses
+/// just before the stop.
+fn stop_timeout(rig: &Rig) -> Result<Verdict, String> {
+    const WORK: Duration = Duration::from_millis(250);
+    const STRAGGLER_WORK: Duration = Duration::from_millis(2_400);
+    let record = &rig.record;
+    let store = Store::start();
+    let upstreams = start_working_upstreams(record, &store, 8, WORK, STRAGGLER_WORK);
+    put_config(&store, record, 1, 1.2, 1.5);
+    let fleet = start_pair(rig, &store)?;
+    let stopping = &fleet[0];
+    warm_up(record, stopping)?;
+    check_listed(record, stopping)?;
+    let stopped_at = if rig.has_trouble { stopping.signal("TERM", record) } else { Instant::now() };
+    std::thread::sleep(Duration::from_millis(500));
+    let acknowledged_at = put_config(&store, record, 2, 2.5, 3.0);
+    // Addresses may be kept for three times the directory's 1.5 s.
+    let until = stopped_at + Duration::from_millis(4_000);
+    let attempts = send_steadily(record, stopping.callers, Duration::from_millis(50), until, |n| {
+        let path = if n % 2 == 0 { "/book/straggler" } else { "/book/normal" };
+        request(&format!("book-{n}"), "POST", path, 3_000)
+    });
+    // Time budget and timeout are 3 s; 100 ms are left for the way. Only the newer configuration may be in
+    // force for a request sent later than 2 s after its ack.
+    let mut lost = broken_off(&attempts, &upstreams, stopped_at, Duration::from_millis(2_900));
+    lost.retain(|attempt| attempt.sent_at > acknowledged_at + Duration::from_secs(2));
+    Ok(lost_verdict(&lost, &attempts, rig))
+}
+
+/// A planned stop, and nothing else. Clients looked up the addresses just before it.
+fn stop_window(rig: &Rig) -> Result<Verdict, String> {
+    const WORK: Duration = Duration::from_millis(250);
+    const STRAGGLER_WORK: Duration = Duration::from_millis(1_460);
+    let record = &rig.record;
+    let store = Store::start();
+    let upstreams = start_working_upstreams(record, &store, 16, WORK, STRAGGLER_WORK);
+    put_config(&store, record, 1, 1.2, 1.5);
+    let fleet = start_pair(rig, &store)?;
+    let stopping = &fleet[0];
+    warm_up(record, stopping)?;
+    check_listed(record, stopping)?;
+    let stopped_at = if rig.has_trouble { stopping.signal("TERM", record) } else { Instant::now() };
+    // Addresses may be kept for three times the directory's 1.5 s.
+    let until = stopped_at + Duration::from_millis(4_400);
+    let (record_of_normal, address) = (record.clone(), stopping.callers);
+    let normal = std::thread::spawn(move || {
+        send_steadily(&record_of_normal, address, Duration::from_millis(40), until, |n| {
+            request(&format!("book-{n}"), "POST", "/book/normal", 3_000)
+        })
+    });
+    std::thread::sleep(Duration::from_secs(3));
+    let mut attempts = send_steadily(record, address, Duration::from_millis(20), until, |n| {
+        request(&format!("straggler-{n}"), "POST", "/book/straggler", 3_000)
+    });
+    attempts.extend(normal.join().map_err(|_| "a client failed")?);
+    // The route's timeout of 1.5 s is the nearer bound; 20 ms are left for the way.
+    let lost = broken_off(&attempts, &upstreams, stopped_at, Duration::from_millis(1_480));
+    Ok(lost_verdict(&lost, &attempts, rig))
+}
+
+/// Waiting watches are cut four times; then the entry of an upstream that says nothing is removed.
+fn watch_cut(rig: &Rig) -> Result<Verdict, String> {
+    const DRAIN: Duration = Duration::from_secs(2);
+    const CUT_ROUNDS: u32 = 4;
+    const CUT_INTERVAL: Duration = Duration::from_millis(700);
+    let record = &rig.record;
+    let store = Store::start();
+    let work = Duration::from_millis(30);
+    let upstreams = start_working_upstreams(record, &store, 3, work, work);
+    put_config(&store, record, 1, 1.2, 1.5);
+    let fleet = start_pair(rig, &store)?;
+    let (address, sender_record) = (fleet[0].callers, record.clone());
+    let until = Instant::now() + Duration::from_secs(15);
+    let sender = std::thread::spawn(move || {
+        send_steadily(&sender_record, address, Duration::from_millis(20), until, |n| {
+            request(&format!("look-{n}"), "GET", "/look/1", 2_500)
+        })
+    });
+    std::thread::sleep(Duration::from_secs(6));
+    for round in 1..=CUT_ROUNDS {
+        if round > 1 {
+            std::thread::sleep(CUT_INTERVAL);
+        }
+        if rig.has_trouble {
+            store.cut_watches();
+            record.line("all waiting watches are cut");
+        }
+    }
+    std::thread::sleep(Duration::from_millis(30));
+    let leaving = &upstreams[0];
+    let removed_at = store.remove(&format!("servers/{}", leaving.shared.id));
+    record.line_at(removed_at, &format!("the entry of {} is removed", leaving.shared.id));
+    sender.join().map_err(|_| "the client failed")?;
+    let after_removal: Vec<Duration> = leaving
+        .arrivals()
+        .iter()
+        .filter(|arrival| arrival.request_id.is_some() && arrival.at > removed_at)
+        .map(|arrival| arrival.at - removed_at)
+        .collect();
+    let late = after_removal.iter().filter(|after| **after > DRAIN).count();
+    let latest = after_removal.iter().max().copied().unwrap_or_default().as_secs_f64();
+    let text = format!(
+        "{late} requests reached the upstream later than {} s after its entry was gone, the last one {latest:.3} s \
+         after; {} watches of two instances were cut before",
+        DRAIN.as_secs(),
+        store.cut_count()
+    );
+    Ok(Verdict { held: late == 0, text })
+}
+
+/// Full upstreams turn status checks away with `Retry-After`, like any other request.
+fn check_quiet(rig: &Rig) -> Result<Verdict, String> {
+    const QUIET: Duration = Duration::from_secs(4);
+    const UNTIL_QUIET: Duration = Duration::from_millis(500);
+    let record = &rig.record;
+    let store = Store::start();
+    let retry_after = rig.has_trouble.then_some(QUIET);
+    let behaviour = Arc::new(move |request: &Request, shared: &Shared, stream: &TcpStream| {
+        let id = header(&request.headers, REQUEST_ID).unwrap_or("a status check").to_owned();
+        if !shared.take_slot() {
+            shared.record.line(&format!("{} is full and turns {id} away", shared.id));
+            return Some(shared.rejection(request, retry_after));
+        }
+        let response = if request.path() == HEALTH_PATH {
+            Some(shared.healthy())
+        } else {
+            shared.record.line(&format!("{} runs {id}", shared.id));
+            let is_done = shared.work(request, stream, Duration::from_millis(250));
+            is_done.then(|| shared.success(request, "done"))
+        };
+        shared.free_slot();
+        response
+    });
+    let upstreams: Vec<Upstream> =
+        ["i-1", "i-2"].iter().map(|id| Upstream::start(id, 2, record, behaviour.clone())).collect();
+    put_config(&store, record, 1, 1.2, 1.5);
+    for upstream in &upstreams {
+        store.put(&format!("servers/{}", upstream.shared.id), &upstream.entry(SERVICE));
+    }
+    let gateway = Gateway::start(&rig.program, &rig.folder, "front-1", store.address, &[]);
+    if !gateway.wait_ready() {
+        return Err("the instance did not become ready".into());
+    }
+    let until = Instant::now() + Duration::from_secs(20);
+    send_steadily(record, gateway.callers, Duration::from_millis(70), until, |n| {
+        request(&format!("look-{n}"), "GET", "/look/1", 2_500)
+    });
+    let mut worst: Option<(usize, String)> = None;
+    for upstream in &upstreams {
+        let arrivals = upstream.arrivals();
+        for told in upstream.shared.quiet_told.lock().unwrap().iter() {
+            let window = told.at + UNTIL_QUIET..told.at + told.period;
+            let in_window = arrivals.iter().filter(|arrival| window.contains(&arrival.at));
+            let (checks, requests): (Vec<_>, Vec<_>) =
+                in_window.partition(|arrival| arrival.request_id.is_none());
+            // Only requests of clients are judged; status checks are told besides.
+            if worst.as_ref().is_none_or(|(count, _)| requests.len() > *count) {
+                let text = format!(
+                    "{} turned {} away at {:.3} s with Retry-After {}; from 0.5 s later to the end of that time \
+                     {} requests of clients and {} status checks reached it",
+                    upstream.shared.id,
+                    if told.is_check { "a status check" } else { "a request" },
+                    record.seconds(told.at),
+                    told.period.as_secs(),
+                    requests.len(),
+                    checks.len()
+                );
+                worst = Some((requests.len(), text));
+            }
+        }
+    }
+    let (requests, text) = worst.unwrap_or((0, "no upstream asked for quiet".into()));
+    Ok(Verdict { held: requests <= 2, text })
+}
