review: zeros without end as the size of a chunk starve an instance

At fault: exchange and read_last_response (crates/link/src/pool.rs) bound a body by the bytes that the HTTP library hands on, and it hands on nothing while it reads the size of a chunk.

The cases are numbered by gravity now.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review-2/rig ] || exit 2
-exec target/review-2/rig stop-window "$folder"
+exec target/review-2/rig stop-timeout "$folder"
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -6,10 +6,12 @@
 use crate::store::Store;
 use crate::upstream::{Shared, Upstream, HEALTH_PATH, REQUEST_ID};
 use crate::{Rig, Verdict};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+const DEADLINE: &str = "X-Lacewingshelf-Deadline-Ms";
 const HOST: &str = "shop.example";
 const SERVICE: &str = "orders";
 /// `memory_mb` of the settings. The platform kills a process that exceeds it.
@@ -20,6 +22,7 @@
         "stop-timeout" => stop_timeout(rig),
         "stop-window" => stop_window(rig),
         "watch-cut" => watch_cut(rig),
+        "endless-size" => endless_size(rig),
         "unread-answers" => unread_answers(rig),
         "check-quiet" => check_quiet(rig),
         _ => Err(format!("unknown case {case}")),
@@ -68,7 +71,7 @@
     let headers = vec![
         ("Host".to_owned(), HOST.to_owned()),
         (REQUEST_ID.to_owned(), id.to_owned()),
-        ("X-Lacewingshelf-Deadline-Ms".to_owned(), deadline_ms.to_string()),
+        (DEADLINE.to_owned(), deadline_ms.to_string()),
     ];
     let body = if method == "GET" { Vec::new() } else { vec![b'x'; 4_000] };
     Request { method: method.to_owned(), target: path.to_owned(), headers, body }
@@ -110,7 +113,10 @@
         std::thread::sleep(at.saturating_duration_since(Instant::now()));
         let (record, request, attempts) = (record.clone(), make(number), Arc::clone(&attempts));
         senders.push(std::thread::spawn(move || {
-            let ended = attempt(&record, address, &request, Duration::from_secs(8));
+            // A client leaves at the end of its time budget.
+            let budget_ms = header(&request.headers, DEADLINE).and_then(|text| text.parse().ok());
+            let budget = Duration::from_millis(budget_ms.unwrap_or(3_000));
+            let ended = attempt(&record, address, &request, budget);
             attempts.lock().unwrap().push(ended);
         }));
     }
@@ -134,8 +140,7 @@
             return Some(shared.healthy());
         }
         let id = header(&request.headers, REQUEST_ID).unwrap_or("-").to_owned();
-        let left =
-            header(&request.headers, "X-Lacewingshelf-Deadline-Ms").unwrap_or("-").to_owned();
+        let left = header(&request.headers, DEADLINE).unwrap_or("-").to_owned();
         shared.record.line(&format!("{} runs {id}, {left} ms left", shared.id));
         let is_straggler = request.path().ends_with("/straggler");
         if !shared.work(request, stream, if is_straggler { straggler_work } else { work }) {
@@ -523,3 +528,103 @@
         }
     }
 }
+
+/// Bytes that all upstreams in trouble together may send, at a fixed rate.
+struct SendRate {
+    bytes_per_s: f64,
+    next_at: Mutex<Instant>,
+}
+
+impl SendRate {
+    /// Waits until further `bytes` may be sent.
+    fn take(&self, bytes: usize) {
+        let now = Instant::now();
+        let mut next_at = self.next_at.lock().unwrap();
+        let at = (*next_at).max(now - Duration::from_millis(5));
+        *next_at = at + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        drop(next_at);
+        std::thread::sleep(at.saturating_duration_since(now));
+    }
+}
+
+/// Upstreams send the size of a chunk without end. The instance has its share of a core and of the link.
+fn endless_size(rig: &Rig) -> Result<Verdict, String> {
+    const UPSTREAMS_IN_TROUBLE: usize = 4;
+    const BYTES_PER_S: f64 = 110_000_000.0;
+    const CORE_SHARE: f64 = 0.2;
+    const LOAD_DURATION: Duration = Duration::from_secs(8);
+    const LOOK_TIMEOUT: Duration = Duration::from_millis(1_200);
+    const BOOK_TIMEOUT: Duration = Duration::from_millis(1_500);
+    const BEYOND_TIMEOUT: Duration = Duration::from_millis(500);
+    let record = &rig.record;
+    let store = Store::start();
+    let rate = SendRate { bytes_per_s: BYTES_PER_S, next_at: Mutex::new(Instant::now()) };
+    let ids: Vec<String> = (1..=8).map(|number| format!("i-{number}")).collect();
+    let count = if rig.has_trouble { UPSTREAMS_IN_TROUBLE } else { 0 };
+    let in_trouble: Vec<String> = ids[..count].to_vec();
+    record.line(&format!("upstreams in trouble: {in_trouble:?}"));
+    let behaviour = Arc::new(move |request: &Request, shared: &Shared, stream: &TcpStream| {
+        if request.path() == HEALTH_PATH {
+            return Some(shared.healthy());
+        }
+        let id = header(&request.headers, REQUEST_ID).unwrap_or("-");
+        shared.record.line(&format!("{} runs {id}", shared.id));
+        if !in_trouble.contains(&shared.id) {
+            let is_done = shared.work(request, stream, Duration::from_millis(100));
+            return is_done.then(|| shared.success(request, "done"));
+        }
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n\
+             X-Lacewingshelf-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        let mut stream = stream;
+        let mut sent = stream.write_all(head.as_bytes());
+        let zeros = [b'0'; 65_536];
+        while sent.is_ok() {
+            rate.take(zeros.len());
+            sent = stream.write_all(&zeros);
+        }
+        shared.record.line(&format!("{} on {id}: the caller closed", shared.id));
+        None
+    });
+    let upstreams: Vec<Upstream> =
+        ids.iter().map(|id| Upstream::start(id, 6, record, behaviour.clone())).collect();
+    put_config(&store, record, 1, LOOK_TIMEOUT.as_secs_f64(), BOOK_TIMEOUT.as_secs_f64());
+    for upstream in &upstreams {
+        store.put(&format!("servers/{}", upstream.shared.id), &upstream.entry(SERVICE));
+    }
+    let gateway = Gateway::start(&rig.program, &rig.folder, "front-1", store.address, &[]);
+    if !gateway.wait_ready() {
+        return Err("the instance did not become ready".into());
+    }
+    gateway.limit_processor(CORE_SHARE);
+    std::thread::sleep(Duration::from_secs(1));
+    let until = Instant::now() + LOAD_DURATION;
+    let (look_record, address) = (record.clone(), gateway.callers);
+    let lookups = std::thread::spawn(move || {
+        send_steadily(&look_record, address, Duration::from_millis(15), until, |n| {
+            request(&format!("look-{n}"), "GET", "/look/1", 2_500)
+        })
+    });
+    let bookings = send_steadily(record, address, Duration::from_millis(50), until, |n| {
+        request(&format!("book-{n}"), "POST", "/book/1", 3_000)
+    });
+    let lookups = lookups.join().map_err(|_| "a client failed")?;
+    let unanswered = |attempts: &[Attempt], after: Duration| {
+        attempts.iter().filter(|attempt| attempt.ended_at > attempt.sent_at + after).count()
+    };
+    let at_timeout = unanswered(&lookups, LOOK_TIMEOUT) + unanswered(&bookings, BOOK_TIMEOUT);
+    let later = unanswered(&lookups, LOOK_TIMEOUT + BEYOND_TIMEOUT)
+        + unanswered(&bookings, BOOK_TIMEOUT + BEYOND_TIMEOUT);
+    let served = |attempts: &[Attempt]| attempts.iter().filter(|a| a.is_served()).count();
+    let text = format!(
+        "of {at_timeout} requests without an answer at their route's timeout {later} had none 0.5 s later; {} of {} \
+         lookups and {} of {} bookings were served",
+        served(&lookups),
+        lookups.len(),
+        served(&bookings),
+        bookings.len()
+    );
+    Ok(Verdict { held: 2 * later <= at_timeout, text })
+}
--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -11,9 +11,14 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
+/// Length of a clock tick in the system's process table.
+const TICK: Duration = Duration::from_millis(10);
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 pub const GRACE: Duration = Duration::from_secs(6);
@@ -136,6 +141,53 @@
     }
 }
 
+/// Period of a processor quota.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+
+/// Returns the processor time that a process has used: of its main thread in nanoseconds or, where the
+/// system doesn't tell that, of all threads in ticks.
+fn processor_time(process: u32) -> Option<Duration> {
+    if let Ok(text) = std::fs::read_to_string(format!("/proc/{process}/schedstat")) {
+        return text.split(' ').next()?.parse().ok().map(Duration::from_nanos);
+    }
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
+    let (user, system): (u32, u32) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
+    Some(TICK * (user + system))
+}
+
+impl Gateway {
+    /// Gives the process a share of a core as a quota: it runs at full speed until it has used the share of
+    /// a tenth of a second, and then not at all for the rest of that tenth.
+    pub fn limit_processor(&self, share: f64) {
+        let process = self.child.id();
+        let Ok(process_id) = i32::try_from(process) else {
+            return;
+        };
+        std::thread::spawn(move || {
+            let mut began = Instant::now();
+            let mut used_before = processor_time(process)?;
+            loop {
+                std::thread::sleep(Duration::from_millis(1));
+                if processor_time(process)? - used_before >= QUOTA_PERIOD.mul_f64(share) {
+                    // SAFETY: a system call with the id of a child that has not been waited for.
+                    unsafe { kill(process_id, SIGSTOP) };
+                    let end = began + QUOTA_PERIOD;
+                    std::thread::sleep(end.saturating_duration_since(Instant::now()));
+                    // SAFETY: as above.
+                    unsafe { kill(process_id, SIGCONT) };
+                }
+                if began.elapsed() >= QUOTA_PERIOD {
+                    began = Instant::now();
+                    used_before = processor_time(process)?;
+                }
+            }
+            #[allow(unreachable_code)]
+            None::<()>
+        });
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         // Fails only if the process has ended already.
