Directory: instances that stopped are not named again

Cause: a planned stop left the instance's record in the store until its lease of 600 s ended, and a member of which no heartbeats are expected counted as usable. That it had said it stops was forgotten 10 s later, and that its heartbeats were overdue as soon as those before it in rank returned.

Why it works: the stop removes the record, conditional on its revision, once callers no longer come; a member that was lost or not ready stays out until it is heard or its record is written anew. An instance that hears nobody marks nobody as lost, so a cut of its own leaves no trace.

a_restarted_fleet_uses_its_registered_records_without_writes is about a loss of power but used planned stops for it; it now ends the instances without one and checks the same.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -38,38 +38,56 @@
     expected_since: Option<MonoTime>,
     /// Whether expected heartbeats are overdue.
     is_overdue: bool,
+    /// Whether the member was last known to be gone or not ready: it said so, or its heartbeats became
+    /// overdue while others arrived. Remains until it is heard again, expected or not.
+    is_lost: bool,
 }
 
 impl MemberState {
     fn new(record: MemberRecord, is_registered: bool) -> Self {
-        Self { record, is_registered, expected_since: None, is_overdue: false }
+        Self { record, is_registered, expected_since: None, is_overdue: false, is_lost: false }
     }
 
-    /// Forgets that heartbeats were expected.
+    /// Forgets that heartbeats were expected, but not that the member was lost.
     fn expect_none(&mut self) {
         self.expected_since = None;
         self.is_overdue = false;
     }
 
+    /// Forgets that the member was lost; new heartbeats are waited for if any are expected.
+    fn forget_loss(&mut self) {
+        self.is_lost = false;
+        self.expect_none();
+    }
+
     /// Returns whether heartbeats of the member, which are expected, are overdue.
     ///
     /// Once overdue, they remain so until one arrives, whatever else starts a new wait:
     /// `direct_since` changes when this instance takes over the member's duty.
-    fn check_overdue(
-        &mut self,
-        now: MonoTime,
-        heard_at: Option<MonoTime>,
-        direct_since: Option<MonoTime>,
-        timeout: Duration,
-    ) -> bool {
+    fn check_overdue(&mut self, heard_at: Option<MonoTime>, wait: HeartbeatWait) -> bool {
+        let HeartbeatWait { now, direct_since, timeout, hears_others } = wait;
         let has_passed = |since: MonoTime| now.since(since) > timeout;
         let expected_since = *self.expected_since.get_or_insert(now);
         let waited = has_passed(expected_since) && direct_since.is_none_or(has_passed);
-        self.is_overdue = heard_at.is_none_or(has_passed) && (self.is_overdue || waited);
+        let was_overdue = self.is_overdue || self.is_lost;
+        self.is_overdue = heard_at.is_none_or(has_passed) && (was_overdue || waited);
+        self.is_lost |= self.is_overdue && hears_others;
         self.is_overdue
     }
 }
 
+/// What decides whether the heartbeats of a member are overdue.
+#[derive(Debug, Clone, Copy)]
+struct HeartbeatWait {
+    now: MonoTime,
+    /// Since when this instance receives heartbeats from their senders; `None` if they are relayed.
+    direct_since: Option<MonoTime>,
+    timeout: Duration,
+    /// Whether heartbeats of some members arrive. If none do, this instance may be the one that is cut
+    /// off.
+    hears_others: bool,
+}
+
 #[derive(Debug, Clone)]
 struct HeardState {
     /// When the heartbeat was received, by this instance or by the one that relayed it.
@@ -202,7 +220,8 @@
     }
 
     /// Adds a member of which the store has a record. A record of an earlier incarnation than the
-    /// known one changes nothing else.
+    /// known one changes nothing else. A lost member counts as usable again: its record was written
+    /// anew, which it asked for.
     pub fn register(&mut self, record: MemberRecord) {
         if record.name == self.this.name {
             self.registered_incarnation = Some(record.incarnation);
@@ -210,6 +229,7 @@
         }
         if let Some(state) = self.member_mut(&record.name) {
             state.is_registered = true;
+            state.forget_loss();
             if record.incarnation <= state.record.incarnation {
                 return;
             }
@@ -300,6 +320,9 @@
         }
         let message = HeartbeatMessage { record: None, ..heartbeat };
         let name = message.name.clone();
+        if let Some(state) = self.member_mut(&name) {
+            state.is_lost = is_unresponsive || !message.is_ready;
+        }
         self.heard.insert(name, HeardState { at, message, is_unresponsive });
         !was_recent && !is_unresponsive
     }
@@ -383,6 +406,7 @@
     fn walk(&mut self, walk: &mut SurveyWalk) {
         let this_place = RankKey::of(&self.this);
         let mut is_this_due = true;
+        let hears_others = self.heard.values().any(|heard| heard.is_recent(walk.now));
         for (place, state) in &mut self.members {
             if is_this_due && this_place < *place {
                 walk.visit_this(&this_place, &self.this, self.is_ready);
@@ -397,7 +421,9 @@
                 None if state.record.data_centre == self.this.data_centre => RELAYED_TIMEOUT,
                 None => REMOTE_TIMEOUT,
             };
-            walk.visit(place, state, heard, self.direct_since, timeout);
+            let direct_since = self.direct_since;
+            let wait = HeartbeatWait { now: walk.now, direct_since, timeout, hears_others };
+            walk.visit(place, state, heard, wait);
         }
         if is_this_due {
             walk.visit_this(&this_place, &self.this, self.is_ready);
@@ -495,24 +521,22 @@
         place: &RankKey,
         state: &mut MemberState,
         heard: Option<&HeardState>,
-        direct_since: Option<MonoTime>,
-        timeout: Duration,
+        wait: HeartbeatWait,
     ) {
         let is_expected =
             self.senders < SENDERS_MIN || self.missing.contains_key(&state.record.data_centre);
-        let mut is_unresponsive = false;
-        if is_expected {
+        let is_recent = heard.is_some_and(|heard| heard.is_recent(self.now));
+        let is_unresponsive = if is_expected {
             self.expected.insert(place.clone());
-            let heard_at = heard.map(|heard| heard.at);
-            let is_overdue = state.check_overdue(self.now, heard_at, direct_since, timeout);
-            is_unresponsive = is_overdue || heard.is_some_and(|heard| heard.is_unresponsive);
+            let is_overdue = state.check_overdue(heard.map(|heard| heard.at), wait);
+            is_overdue || heard.is_some_and(|heard| heard.is_unresponsive)
         } else {
             state.expect_none();
-        }
+            state.is_lost && !is_recent
+        };
         self.senders += usize::from(!is_unresponsive);
-        let is_recent = heard.is_some_and(|heard| heard.is_recent(self.now));
         let reports_ready = heard.is_none_or(|heard| heard.message.is_ready);
-        if !is_unresponsive && (reports_ready || (!is_recent && !is_expected)) {
+        if !is_unresponsive && reports_ready {
             self.add_usable(place, &state.record.data_centre);
         }
     }
--- a/crates/fleet/src/registrar.rs
+++ b/crates/fleet/src/registrar.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Drops the waiting record of an instance whose record was removed from the store: it has stopped,
+    /// or it asks again.
+    pub fn withdraw(&mut self, name: &InstanceName) {
+        self.waiting.remove(name);
+        if self.waiting.is_empty() {
+            self.due_at = None;
+        }
+    }
+
     /// Drops all waiting records. Their instances announce themselves again, to this registrar or
     /// another.
     pub fn clear(&mut self) {
--- a/crates/fleet/src/replica.rs
+++ b/crates/fleet/src/replica.rs
@@ -101,6 +101,11 @@
         self.items.iter().map(|(key, item)| (key, &item.value))
     }
 
+    /// Returns the revision of the latest write of a key; `None` if it does not exist.
+    pub fn revision_of(&self, key: &str) -> Option<StoreRevision> {
+        self.items.get(key).map(|item| item.revision)
+    }
+
     /// Returns a digest of the keys and revisions of all items. Replicas with the same items have the
     /// same digest.
     pub fn digest(&self) -> u32 {
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -310,6 +310,84 @@
     assert!(homes_of(&mut table, at(10_001), 6).contains(&"m5".to_owned()));
 }
 
+/// Names of all usable members.
+fn usable(table: &mut MemberTable, now: MonoTime) -> BTreeSet<String> {
+    homes_of(table, now, 12).into_iter().collect()
+}
+
+/// Lets the time pass from `from` to `to` while all other members but those in `except` send heartbeats.
+fn pass_time(table: &mut MemberTable, from: u64, to: u64, except: &[usize]) {
+    for now in (from..=to).step_by(300) {
+        record_heartbeats(table, at(now), except);
+        table.survey(at(now), 2);
+    }
+}
+
+/// Indices of the members but this one, in rank order.
+fn ranked() -> Vec<usize> {
+    let names = homes_of(&mut ranked_table(), at(0), 12);
+    let index = |name: &String| name[1..].parse().expect("number");
+    names.iter().map(index).filter(|index| *index != 0).collect()
+}
+
+/// Like [`table`], with all members in one data centre.
+fn ranked_table() -> MemberTable {
+    let mut table = MemberTable::new(support::record(0, "north"));
+    table.set_ready(true);
+    (0..12).for_each(|index| table.register(support::record(index, "north")));
+    table
+}
+
+/// Guards against directories that name an instance as successor of another one seconds after it said
+/// that it stops. It sends no heartbeats, and none were expected of it.
+#[test]
+fn a_member_that_was_not_ready_when_last_heard_is_not_usable() {
+    let stopped = *ranked().last().expect("members");
+    let mut table = ranked_table();
+    pass_time(&mut table, 0, 900, &[]);
+    table.record_heartbeat(at(1_000), heartbeat(support::record(stopped, "north"), false));
+    pass_time(&mut table, 1_200, 30_000, &[stopped]);
+    for (now, except) in [(30_010, vec![stopped]), (31_500, ranked())] {
+        record_heartbeats(&mut table, at(now), &except);
+        assert!(!usable(&mut table, at(now)).contains(&format!("m{stopped}")), "at {now} ms");
+    }
+    table.record_heartbeat(at(32_000), heartbeat(support::record(stopped, "north"), true));
+    assert!(usable(&mut table, at(32_010)).contains(&format!("m{stopped}")));
+}
+
+/// Guards against forgetting that heartbeats of a member were overdue when those before it in rank return.
+#[test]
+fn a_lost_member_remains_lost_while_none_of_its_heartbeats_are_expected() {
+    let order = ranked();
+    let (first, lost) = (&order[..5], order[5]);
+    let mut table = ranked_table();
+    pass_time(&mut table, 0, 900, &[]);
+    let silent: Vec<usize> = first.iter().copied().chain([lost]).collect();
+    pass_time(&mut table, 1_200, 4_200, &silent);
+    pass_time(&mut table, 4_500, 20_000, &[lost]);
+    assert!(!usable(&mut table, at(20_010)).contains(&format!("m{lost}")));
+    // A newly written record shows that it is back.
+    table.register(support::record(lost, "north"));
+    assert!(usable(&mut table, at(20_020)).contains(&format!("m{lost}")));
+}
+
+/// An instance that was cut off itself doesn't hold its silence against the others.
+#[test]
+fn members_not_heard_during_a_cut_of_this_instance_are_usable_after_it() {
+    let mut table = ranked_table();
+    pass_time(&mut table, 0, 900, &[]);
+    for now in (1_200..9_000).step_by(300) {
+        table.survey(at(now), 2);
+    }
+    assert_eq!(usable(&mut table, at(9_000)).len(), 1);
+    let senders: Vec<usize> = ranked()[..5].to_vec();
+    for index in &senders {
+        table.record_heartbeat(at(9_100), heartbeat(support::record(*index, "north"), true));
+    }
+    table.survey(at(9_110), 2);
+    assert_eq!(usable(&mut table, at(9_120)).len(), 12);
+}
+
 fn check_home_count(servers: usize, data_centres: usize, expected: usize) {
     let policy = HomePolicy { homes_min: 2, servers_per_home: 80 };
     assert_eq!(policy.home_count(servers, data_centres), expected);
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -111,6 +111,8 @@
         fleet.records.this = None;
     }
     fleet.members.unregister(name);
+    drop(fleet);
+    state.registrar.borrow_mut().withdraw(name);
 }
 
 /// Stops using a server whose record is gone. If it vanished while the store was failing, the server
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -27,6 +27,8 @@
 /// Failed rounds after which an instance writes its own record. The first rounds fail when many
 /// instances start together, some a little earlier than the others.
 const ROUNDS_BEFORE_SELF: u32 = 2;
+/// Bound on removing this instance's record at a planned stop.
+const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bound on waiting until a written record reaches the replica.
 const RECORD_ARRIVAL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before the second check for the written record; doubled with each further check, since many
@@ -63,6 +65,33 @@
     }
 }
 
+/// Removes this instance's record from the store, unless another process has replaced it meanwhile. The
+/// other instances would otherwise count this one as usable once they expect no heartbeats of it.
+/// Gives up after [`WITHDRAWAL_TIMEOUT`].
+pub(crate) async fn withdraw_registration(state: &GatewayState) {
+    let key = StoreKey(state.binding.member_key(state.settings().name.as_str()).into());
+    let Some(revision) = registered_revision(state, &key) else {
+        return;
+    };
+    let until = state.now().plus(WITHDRAWAL_TIMEOUT);
+    let mut delay = REGISTER_DELAY_FIRST;
+    while state.now() < until {
+        let store = Rc::clone(&state.store.borrow());
+        let removed = store.remove(key.clone(), revision).await;
+        state.metrics.store_call("remove", removed.is_ok());
+        match removed {
+            Ok(is_removed) => {
+                let detail = format_smolstr!("revision {revision}, removed {is_removed}");
+                state.log.state("unlisted", &detail);
+                return;
+            }
+            Err(cause) => state.log.state("unlisting_failed", &format_smolstr!("{cause}")),
+        }
+        tokio::time::sleep(delay).await;
+        delay *= 2;
+    }
+}
+
 /// Whether the replica has a record of this instance with its present addresses. The record's
 /// incarnation may be older: heartbeats carry the present one.
 pub(crate) fn is_registered(state: &GatewayState) -> bool {
@@ -74,6 +103,14 @@
     })
 }
 
+/// Returns the revision of this instance's record; `None` if there is none or a later process wrote it.
+fn registered_revision(state: &GatewayState, key: &StoreKey) -> Option<StoreRevision> {
+    let fleet = state.fleet_ref();
+    let registered = fleet.records.this.as_ref()?;
+    let is_own = registered.incarnation <= fleet.members.this().incarnation;
+    is_own.then(|| fleet.replica.revision_of(&key.0))?
+}
+
 /// Whether the replica is recent enough to conclude that a record is missing. Also true if the
 /// store has never confirmed the replica.
 fn is_current(state: &GatewayState) -> bool {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,12 +1,15 @@
 //! The planned stop, and reloading of the settings file.
 
 use crate::records::refresh_fleet;
+use crate::registration::withdraw_registration;
 use crate::settings_file::read_settings;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
+use crate::supervise::spawn_task;
 use balance::QueueStop;
 use model::MonoTime;
 use smol_str::format_smolstr;
+use std::cell::Cell;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,15 +98,28 @@
     begin_stop(&state);
     wait_step(&state, |plan| plan.close_after, || false).await;
     state.closing.send_replace(true);
+    let is_withdrawn = spawn_withdrawal(&state);
     let is_closed = || state.connections.get() == 0;
     wait_step(&state, |plan| plan.answer_after, is_closed).await;
     state.ending.send_replace(true);
-    wait_step(&state, |plan| plan.exit_after, is_closed).await;
+    wait_step(&state, |plan| plan.exit_after, || is_closed() && is_withdrawn.get()).await;
     state.log.state("stopped", &format_smolstr!("{} connections left", state.connections.get()));
     state.log.flush();
     Ok(())
 }
 
+/// Starts the removal of this instance's record, once callers no longer come here: until then other
+/// instances send it the changes of the store. The cell turns true when the removal has ended.
+fn spawn_withdrawal(state: &Rc<GatewayState>) -> Rc<Cell<bool>> {
+    let is_withdrawn = Rc::new(Cell::new(false));
+    let (shared, done) = (Rc::clone(state), Rc::clone(&is_withdrawn));
+    spawn_task(state, "withdrawal", async move {
+        withdraw_registration(&shared).await;
+        done.set(true);
+    });
+    is_withdrawn
+}
+
 /// Makes the instance unready and removes it from the directory. From now on it refuses requests that
 /// it might have to break off.
 fn begin_stop(state: &Rc<GatewayState>) {
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -15,6 +15,9 @@
 /// Further checks that may be made at the start, before the instances discover each other.
 const CHECKS_AT_START_MAX: f64 = 8.0;
 
+/// Time in which the store refuses an instance that stops. Shorter than its grace period.
+const REFUSED_PERIOD: std::time::Duration = std::time::Duration::from_millis(300);
+
 /// Requests that a server with a limit of one request a second may get within four seconds.
 const LIMITED_REQUESTS_MAX: usize = 11;
 
@@ -127,6 +130,47 @@
     two.close();
 }
 
+/// Guards against a directory that names an instance which stopped long before: the others counted it as
+/// usable whenever they expected no heartbeats of it.
+#[test]
+fn a_planned_stop_removes_the_record_of_the_instance() {
+    let store = MemoryStore::default();
+    store.set("config", Some("1"));
+    let (one, two) = start_two(&store);
+    assert!(store.has("members/one"));
+    store.set_refused("one", true);
+    let refusal = {
+        let store = store.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(REFUSED_PERIOD);
+            store.set_refused("one", false);
+        })
+    };
+    one.close();
+    refusal.join().expect("the store serves again");
+    assert!(!store.has("members/one") && store.has("members/two"));
+    two.close();
+}
+
+/// The record that a restarted process wrote meanwhile stays.
+#[test]
+fn a_stop_does_not_remove_the_record_of_another_process() {
+    let store = MemoryStore::default();
+    store.set("config", Some("1"));
+    let (one, two) = start_two(&store);
+    for name in ["one", "two"] {
+        store.set_refused(name, true);
+    }
+    wait_until("the watches have ended", || {
+        call(one.metrics, "GET", "/metrics", "m").body.contains("outcome=\"failed\"")
+    });
+    store.set("members/one", Some("{}"));
+    store.set_refused("one", false);
+    one.close();
+    assert!(store.has("members/one"));
+    two.close();
+}
+
 /// Guards against using a vanished server for as long as the store fails for an instance.
 #[test]
 fn a_server_that_vanishes_while_the_store_fails_is_used_only_briefly() {
@@ -177,8 +221,8 @@
     let (one, two) = start_two(&store);
     let writes = store.writes();
     let addresses = [one.addresses.clone(), two.addresses.clone()];
-    one.close();
-    two.close();
+    one.crash();
+    two.crash();
     let restarted: Vec<TestInstance> = ["one", "two"]
         .into_iter()
         .zip(addresses)
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -10,8 +10,8 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use platform::wire::{
-    ItemBody, LEASE_PATH, LeaseBody, RANGE_PATH, RangeBody, TXN_PATH, TxnBody, TxnRequest,
-    WATCH_PATH, WatchBody,
+    ItemBody, KeyCondition, LEASE_PATH, LeaseBody, RANGE_PATH, RangeBody, TXN_PATH, TxnBody,
+    TxnRequest, WATCH_PATH, WatchBody,
 };
 use platform::{CONFIG_KEY, SERVER_PREFIX};
 use rand::RngExt;
@@ -216,8 +216,18 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let mut state = lock(state);
+    let is_met = |condition: &KeyCondition| {
+        let item = state.items.get(condition.key.as_str());
+        item.map_or(0, |item| item.revision) == condition.revision
+    };
+    if !request.precondition.iter().all(is_met) {
+        return StatusCode::PRECONDITION_FAILED.into_response();
+    }
     for write in request.writes {
         state.set(&write.key, Some(write.value));
     }
+    for key in request.remove {
+        state.set(&key, None);
+    }
     Json(TxnBody { revision: state.revision }).into_response()
 }
--- a/crates/store/src/replicated.rs
+++ b/crates/store/src/replicated.rs
@@ -83,6 +83,9 @@
     /// Writes all values or none, at most 32 in one call. The keys are removed when `lease` expires.
     /// Returns the revision of the write.
     fn put_all(&self, writes: Vec<ItemWrite>, lease: LeaseId) -> StoreCall<'_, StoreRevision>;
+
+    /// Removes a key unless it changed after `revision`. Returns whether it was removed.
+    fn remove(&self, key: StoreKey, revision: StoreRevision) -> StoreCall<'_, bool>;
 }
 
 impl StoreItems {
