Members: the record in a heartbeat replaces outdated addresses

What was seen: an instance that the store turns away kept sending requests to a server that was leaving.

Cause: the other instance had restarted at other addresses. Its first heartbeats had no record, so it was taken to have the addresses of the process before; later heartbeats had the record, but were of the same incarnation, so their record was ignored. Pulls of missed changes went to the old address (log: pull_failed, connection refused).

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -306,8 +306,13 @@
         if was_recent && known_incarnation.is_some_and(|known| known > heartbeat.incarnation) {
             return false;
         }
-        if known_incarnation != Some(heartbeat.incarnation) {
-            // A restarted process has the same addresses as the one before.
+        let has_other_record = heartbeat
+            .record
+            .as_ref()
+            .is_some_and(|record| known.is_some_and(|known| known.record != *record));
+        if known_incarnation != Some(heartbeat.incarnation) || has_other_record {
+            // Until a heartbeat has its record, a restarted process is taken to have the addresses of
+            // the one before.
             let known_record = known.map(|known| MemberRecord {
                 incarnation: heartbeat.incarnation,
                 ..known.record.clone()
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -136,6 +136,21 @@
     assert_eq!(table.incarnation(&record(3).name), Some(IncarnationId(2)));
 }
 
+/// An instance that restarted at other addresses could not be reached for changes of the store: its
+/// first heartbeats had no record, and later ones that had it were of the same incarnation.
+#[test]
+fn the_record_in_a_heartbeat_replaces_the_addresses_of_the_process_before() {
+    let mut table = table();
+    let newer = MemberRecord { incarnation: IncarnationId(2), ..record(3) };
+    let without = HeartbeatMessage { record: None, ..heartbeat(newer.clone(), true) };
+    table.record_heartbeat(at(0), without);
+    let moved = MemberRecord { peer_address: record(30).peer_address, ..newer };
+    table.record_heartbeat(at(100), heartbeat(moved.clone(), true));
+    assert!(table.others().any(|member| *member == moved));
+    table.record_heartbeat(at(200), heartbeat(record(3), true));
+    assert!(table.others().any(|member| *member == moved));
+}
+
 #[test]
 fn an_incarnation_from_an_earlier_clock_counts_once_the_later_one_is_unresponsive() {
     let mut table = table();
