Retries: shares of the extra retries are earned

Cause: each process and each new home began with its whole share of the extra retries, beside what the earlier holder had used in the same window.

Change: ExtraAccount. A share counts once it was held for longer than a window; a lower share counts at once. Instances compare their views of the homes by a digest in heartbeats; one that disagrees or hears nobody for 1.5 s stops using its share. A fleet that starts for the first time (new setting first_start, rendered from the platform's settings) needs no earning.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -16,7 +16,7 @@
 mod rate_limit;
 mod reach;
 
-pub use budget::{BudgetPolicy, RetryWindow};
+pub use budget::{BudgetPolicy, ExtraAccount, RetryWindow, ShareClaim};
 pub use check_interval::check_interval;
 pub use contention::ContentionCurve;
 pub use demand::DemandTable;
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -5,7 +5,7 @@
 //! order an overloaded queue serves every request late. A request that would probably miss its
 //! deadline is refused at once.
 
-use crate::budget::{BudgetPolicy, RetryWindow};
+use crate::budget::{BudgetPolicy, ExtraAccount, RetryWindow, ShareClaim};
 use crate::estimates::{ExchangeOutcome, LoadEstimates};
 use crate::placement::{PlacementDecision, PlacementInputs, PlacementPolicy};
 use crate::processing::ProcessingTimes;
@@ -36,6 +36,8 @@
     pub waiting_max: usize,
     /// Retry budget, applied to each service separately.
     pub budget: BudgetPolicy,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
 }
 
 /// A request that asks for a slot.
@@ -165,15 +167,20 @@
     waiting: HashMap<ServiceName, BTreeMap<OrderKey, WaitingRequest>>,
     waiting_count: usize,
     budgets: HashMap<ServiceName, RetryWindow>,
-    extra_share: f64,
+    extra: ExtraAccount,
     next_id: u64,
     /// Set while the instance stops.
     stop: Option<QueueStop>,
 }
 
 impl RequestQueue {
-    /// Creates an empty queue without servers.
-    pub fn new(policy: QueuePolicy, placement_policy: Box<dyn PlacementPolicy>) -> Self {
+    /// Creates an empty queue without servers, of a process that starts now.
+    pub fn new(
+        now: MonoTime,
+        policy: QueuePolicy,
+        placement_policy: Box<dyn PlacementPolicy>,
+    ) -> Self {
+        let extra = ExtraAccount::new(now, policy.budget.window, policy.is_first_start);
         Self {
             policy,
             placement_policy,
@@ -182,7 +189,7 @@
             waiting: HashMap::new(),
             waiting_count: 0,
             budgets: HashMap::new(),
-            extra_share: 0.0,
+            extra,
             next_id: 0,
             stop: None,
         }
@@ -199,22 +206,18 @@
         self.waiting_count
     }
 
-    /// Sets the fraction of the shared extra retries that this instance may use, 0 to 1.
-    pub fn set_extra_share(&mut self, share: f64) {
-        self.extra_share = share;
-        for budget in self.budgets.values_mut() {
-            budget.set_extra_share(share);
-        }
+    /// Records which fraction of the shared extra retries this instance claims.
+    pub fn claim_extra(&mut self, now: MonoTime, claim: ShareClaim) {
+        self.extra.update(now, claim);
     }
 
     /// Returns the retry budget of a service, created without counts at the first use.
-    pub fn budget(&mut self, service: &ServiceName) -> &mut RetryWindow {
-        let (policy, share) = (self.policy.budget, self.extra_share);
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            let mut window = RetryWindow::new(policy);
-            window.set_extra_share(share);
-            window
-        })
+    pub fn budget(&mut self, now: MonoTime, service: &ServiceName) -> &mut RetryWindow {
+        let policy = self.policy.budget;
+        let window =
+            self.budgets.entry(service.clone()).or_insert_with(|| RetryWindow::new(policy));
+        window.set_extra_share(self.extra.usable(now));
+        window
     }
 
     /// Places, queues or refuses a request. `None` means that it waits; [`Self::advance`] returns
--- a/crates/balance/tests/spoiled_reports.rs
+++ b/crates/balance/tests/spoiled_reports.rs
@@ -67,9 +67,13 @@
 /// never got an answer.
 #[test]
 fn a_decision_that_panics_loses_no_waiting_request() {
-    let policy =
-        QueuePolicy { data_centre: "north".parse().expect("name"), waiting_max: 4, budget: BUDGET };
-    let mut queue = RequestQueue::new(policy, Box::new(PanickingPlacement { decisions: 0 }));
+    let policy = QueuePolicy {
+        data_centre: "north".parse().expect("name"),
+        waiting_max: 4,
+        budget: BUDGET,
+        is_first_start: false,
+    };
+    let mut queue = RequestQueue::new(at(0), policy, Box::new(PanickingPlacement { decisions: 0 }));
     queue.estimates.upsert_server(at(0), spec(0, "north"));
     let (id, decision) = queue.submit(at(1), request(at(1), 1));
     assert_eq!(decision, None);
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -84,9 +84,13 @@
 
 /// Like [`queue`], with room for `waiting_max` requests.
 pub fn queue_of(specs: Vec<BackendSpec>, waiting_max: usize) -> RequestQueue {
-    let policy =
-        QueuePolicy { data_centre: "north".parse().expect("name"), waiting_max, budget: BUDGET };
-    let mut queue = RequestQueue::new(policy, Box::new(ExpectedFinish::with_seed(1)));
+    let policy = QueuePolicy {
+        data_centre: "north".parse().expect("name"),
+        waiting_max,
+        budget: BUDGET,
+        is_first_start: false,
+    };
+    let mut queue = RequestQueue::new(MonoTime(0), policy, Box::new(ExpectedFinish::with_seed(1)));
     let keys: Vec<ServerKey> = specs.iter().map(|spec| spec.key.clone()).collect();
     for spec in specs {
         queue.estimates.upsert_server(at(0), spec);
--- a/crates/balance/tests/uneven_centres.rs
+++ b/crates/balance/tests/uneven_centres.rs
@@ -67,9 +67,14 @@
 
 /// Creates the queue of a home that knows all servers, or only those of its own data centre.
 fn queue(index: usize, servers: &[BackendSpec], knows_all: bool) -> RequestQueue {
-    let policy = QueuePolicy { data_centre: centre(index), waiting_max: 1_000, budget: BUDGET };
+    let policy = QueuePolicy {
+        data_centre: centre(index),
+        waiting_max: 1_000,
+        budget: BUDGET,
+        is_first_start: false,
+    };
     let mut queue =
-        RequestQueue::new(policy, Box::new(ExpectedFinish::with_seed(index as u64 + 1)));
+        RequestQueue::new(at(0), policy, Box::new(ExpectedFinish::with_seed(index as u64 + 1)));
     let names: Vec<(InstanceName, DataCentre)> =
         (0..CENTRES).map(|index| (home(index), centre(index))).collect();
     let plan = ReachPlan::new(names.iter().map(|(name, centre)| (name, centre)));
--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -33,6 +33,8 @@
     pub confirmed_age: Millis,
     /// Version of the configuration in force at the sender.
     pub version: ConfigVersion,
+    /// Digest of the homes by the sender's view; see [`homes_digest`].
+    pub homes: u32,
 }
 
 /// A heartbeat as one instance received it, passed on to others.
@@ -182,6 +184,22 @@
     let mut hasher = blake3::Hasher::new();
     hasher.update(name.as_str().as_bytes());
     hasher.update(&incarnation.0.to_le_bytes());
+    first_word(&hasher)
+}
+
+/// Returns a digest of the homes' names in any order, by which instances compare their views.
+pub fn homes_digest<'a>(homes: impl Iterator<Item = &'a InstanceName>) -> u32 {
+    let mut names: Vec<&str> = homes.map(InstanceName::as_str).collect();
+    names.sort_unstable();
+    let mut hasher = blake3::Hasher::new();
+    for name in names {
+        hasher.update(name.as_bytes());
+        hasher.update(&[0]);
+    }
+    first_word(&hasher)
+}
+
+fn first_word(hasher: &blake3::Hasher) -> u32 {
     let mut bytes = [0; 4];
     bytes.copy_from_slice(&hasher.finalize().as_bytes()[..4]);
     u32::from_le_bytes(bytes)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use datagram::{
     ChangeBatch, DATAGRAM_MAX_BYTES, HeardHeartbeat, HeartbeatMessage, LimitMessage, LimitRow,
-    LoadRow, PeerDatagram, PullReply, SplitBatch, server_tag,
+    LoadRow, PeerDatagram, PullReply, SplitBatch, homes_digest, server_tag,
 };
 pub use home::HomePolicy;
 pub use member::{FleetSurvey, MemberTable};
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -27,6 +27,7 @@
         as_of: StoreRevision(1),
         confirmed_age: Millis(0),
         version: ConfigVersion(1),
+        homes: 0,
     }
 }
 
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -5,7 +5,8 @@
 use balance::ReachPlan;
 use fleet::{
     ChangeBatch, ChangeOrigin, FleetSurvey, HeardHeartbeat, HeartbeatMessage, HomePolicy, LoadRow,
-    MemberRecord, MemberTable, PullReply, RelayView, StoreChange, StoreReplica, server_tag,
+    MemberRecord, MemberTable, PullReply, RelayView, StoreChange, StoreReplica, homes_digest,
+    server_tag,
 };
 use model::{
     ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
@@ -141,6 +142,21 @@
         &self.survey.homes
     }
 
+    /// Digest of the homes' names, by which instances compare their views.
+    fn homes_digest(&self) -> u32 {
+        homes_digest(self.homes().iter().map(|home| &home.name))
+    }
+
+    /// Whether all ready instances that are heard name the same homes. `false` if others are known and
+    /// none of them is heard: they may have chosen other homes.
+    pub fn is_view_agreed(&self, now: MonoTime) -> bool {
+        let own = self.homes_digest();
+        let heard = self.members.recent_heartbeats(now).map(|(_, heartbeat)| heartbeat);
+        let mut ready = heard.filter(|heartbeat| heartbeat.is_ready).peekable();
+        let is_alone = self.members.member_count() == 1;
+        is_alone || (ready.peek().is_some() && ready.all(|heartbeat| heartbeat.homes == own))
+    }
+
     /// Rank of this instance among the homes, from 0; `None` if it is not a home.
     pub fn home_rank(&self) -> Option<usize> {
         let name = &self.members.this().name;
@@ -284,6 +300,7 @@
             as_of: self.replica.as_of(),
             confirmed_age: self.confirmed_age(now).into(),
             version: self.version,
+            homes: self.homes_digest(),
         }
     }
 
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -39,8 +39,8 @@
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest body of a request for registration, in bytes.
 const REGISTRATION_MAX_BYTES: usize = 4 * 1024;
-/// Heartbeats in one datagram that passes them on; each takes up to 60 bytes.
-const RELAYED_HEARTBEATS_MAX: usize = 22;
+/// Heartbeats in one datagram that passes them on; each takes up to 65 bytes.
+const RELAYED_HEARTBEATS_MAX: usize = 21;
 /// Shortest time between two log lines on the revision of the replica.
 const REPLICA_LOG_INTERVAL: Duration = Duration::from_secs(3);
 /// Rows in one datagram of load reports.
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -1,11 +1,11 @@
 //! Applies records of the store: the configuration in force, the backend servers that may get
 //! requests, the members and the homes.
 
-use crate::fleet_state::NamedRecord;
+use crate::fleet_state::{FleetState, NamedRecord};
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
 use crate::supervise::{contain, spawn_task};
-use balance::{BackendState, ReachPlan};
+use balance::{BackendState, ReachPlan, ShareClaim};
 use fleet::{MemberRecord, StoreChange, StoreRecord};
 use model::{BackendSpec, InstanceName, ServerKey, StoreRevision};
 use smol_str::{SmolStr, format_smolstr};
@@ -180,6 +180,14 @@
 /// Share of the fleet's extra retries for all instances together that are not homes.
 const OTHERS_SHARE: f64 = 0.1;
 
+/// Returns the share of the fleet's extra retries of an instance with this view.
+fn extra_share(fleet: &FleetState) -> f64 {
+    match fleet.home_rank() {
+        Some(_) => (1.0 - OTHERS_SHARE) / fleet.homes().len().max(2) as f64,
+        None => OTHERS_SHARE / fleet.members.member_count() as f64,
+    }
+}
+
 /// Updates the homes, the retry share and the plan by which homes share servers. Logs a change of
 /// homes and sends a heartbeat.
 pub(crate) fn refresh_fleet(state: &Rc<GatewayState>) {
@@ -192,15 +200,14 @@
     let mut fleet = state.fleet();
     let is_ready = state.is_ready();
     fleet.members.set_ready(is_ready);
-    if !fleet.refresh(now, policy, servers) {
+    let has_changed = fleet.refresh(now, policy, servers);
+    let claim = ShareClaim { share: extra_share(&fleet), is_agreed: fleet.is_view_agreed(now) };
+    state.queue().claim_extra(now, claim);
+    if !has_changed {
         return;
     }
     let homes: Vec<SmolStr> =
         fleet.homes().iter().map(|home| SmolStr::new(home.name.as_str())).collect();
-    let share = match fleet.home_rank() {
-        Some(_) => (1.0 - OTHERS_SHARE) / homes.len().max(2) as f64,
-        None => OTHERS_SHARE / fleet.members.member_count() as f64,
-    };
     let plan = ReachPlan::new(fleet.homes().iter().map(|home| (&home.name, &home.data_centre)));
     let this = fleet.members.this();
     let (name, data_centre) = (this.name.clone(), this.data_centre.clone());
@@ -210,7 +217,6 @@
     let announces = fleet.is_sender();
     drop(fleet);
     let mut queue = state.queue();
-    queue.set_extra_share(share);
     queue.estimates.set_plan(now, name, data_centre, plan);
     drop(queue);
     state.log.state("homes", &detail);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -132,7 +132,7 @@
     routed: RoutedRequest,
 ) -> CallerResponse {
     let now = state.now();
-    state.queue().budget(&routed.service).record_request(now);
+    state.queue().budget(now, &routed.service).record_request(now);
     let mut history = AttemptHistory::default();
     let routed = Rc::new(routed);
     let response = run_attempts(state, &routed, &mut history).await;
@@ -293,14 +293,14 @@
     let now = state.now();
     let left = routed.outbound.deadline.since(now);
     let mut queue = state.queue();
-    if !queue.budget(&routed.service).allows(now, HEDGE_RESERVE) {
+    if !queue.budget(now, &routed.service).allows(now, HEDGE_RESERVE) {
         return HedgeDecision::Later;
     }
     let spec = request_spec(routed, &history.tried);
     let Some((id, placement)) = queue.place_hedge(now, &spec, left) else {
         return HedgeDecision::Later;
     };
-    queue.budget(&routed.service).take_retry(now, 0.0);
+    queue.budget(now, &routed.service).take_retry(now, 0.0);
     drop(queue);
     state.metrics.hedges.inc();
     HedgeDecision::Send(SlotGuard::new(state, id, placement))
@@ -380,8 +380,8 @@
     }
     // The attempt counts as a retry only if the request has already reached a server.
     let reserve = RetryWindow::reserve_for_priority(routed.route.priority);
-    let is_allowed =
-        history.attempts == 0 || state.queue().budget(&routed.service).take_retry(now, reserve);
+    let is_allowed = history.attempts == 0
+        || state.queue().budget(now, &routed.service).take_retry(now, reserve);
     if !is_allowed {
         history.cause = format_smolstr!("{}; retry budget used up", history.cause);
     }
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -50,6 +50,9 @@
     pub probes_per_s: f64,
     /// Limits on retries and hedged requests.
     pub budget: BudgetPolicy,
+    /// Whether the whole fleet starts for the first time, so that no earlier process can have used
+    /// retries.
+    pub is_first_start: bool,
     /// Rule for the number of homes.
     pub homes: HomePolicy,
     /// Limit on log lines about requests, per second.
@@ -87,6 +90,7 @@
     let ratio = reader.with_default("retries", "ratio", "a ratio", 0.1_f64);
     let extra = reader.with_default("retries", "extra", "a number", 0.0_f64);
     let window_s = reader.with_default("retries", "window_s", "seconds", 10.0_f64);
+    let is_first_start = reader.with_default("retries", "first_start", "true or false", false);
     let log_lines_per_s = reader.with_default("log", "lines_per_s", "a number", 200);
     let built = (|| {
         Some(GatewaySettings {
@@ -109,6 +113,7 @@
             stop_grace: seconds(stop_s),
             probes_per_s,
             budget: BudgetPolicy { ratio, extra, window: seconds(window_s).duration() },
+            is_first_start,
             homes: HomePolicy { homes_min, servers_per_home },
             log_lines_per_s,
         })
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -138,12 +138,14 @@
             data_centre: settings.data_centre.clone(),
             waiting_max: WAITING_MAX,
             budget: settings.budget,
+            is_first_start: settings.is_first_start,
         };
-        let queue = RequestQueue::new(policy, Box::new(ExpectedFinish::default()));
+        let clock = ProcessClock::start();
+        let queue = RequestQueue::new(clock.now(), policy, Box::new(ExpectedFinish::default()));
         let log = DecisionLog::start(settings.name.clone(), settings.log_lines_per_s);
         Self {
             incarnation,
-            clock: ProcessClock::start(),
+            clock,
             binding,
             decoder,
             store: RefCell::new(store),
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -269,7 +269,7 @@
     let text = format!(
         "[instance]\nname = {name}\ndata_centre = north\n{lines}[listen]\ncallers = {}\nready = {}\n\
          directory = {}\npeers = {}\ndatagrams = {}\nmetrics = {}\n[store]\naddress = 127.0.0.1:1\n\
-         [stop]\ngrace_s = {grace_s}\n[probes]\nper_s = 20\n[retries]\nratio = 0.2\nextra = 60\n",
+         [stop]\ngrace_s = {grace_s}\n[probes]\nper_s = 20\n[retries]\nratio = 0.2\nextra = 60\nfirst_start = true\n",
         addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], addresses[5],
     );
     let settings = read_settings("test", &text).expect("valid settings");
