Store: a cut watch is no outage

Cause: a record that vanishes within 1.8 s of any failed call was kept for 1.8 s, as after an outage in which records of living servers expire; and each failed call doubled the delay before the next.

Change: a call whose connection breaks is followed at once by one that doesn't wait; only if it fails too does the store count as failing. Whether a record may have expired follows from the confirmations of the store, own and reported: only after 2 s without any.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod relay;
 mod replica;
 mod reply_codec;
+mod store_contact;
 mod watch;
 
 pub use datagram::{
@@ -31,4 +32,5 @@
 pub use relay::{ChangeOrigin, RelayView};
 pub use replica::{ReplicaGap, StoreChange, StoreReplica, StoreSnapshot};
 pub use reply_codec::{ReplyEncoding, ReplyError};
+pub use store_contact::{CallFailure, ConfirmationRecord, StoreRetry};
 pub use watch::{WatchDuty, WatchInputs, watch_duty};
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -4,9 +4,9 @@
 use crate::settings_file::GatewaySettings;
 use balance::ReachPlan;
 use fleet::{
-    ChangeBatch, ChangeOrigin, FleetSurvey, HeardHeartbeat, HeartbeatMessage, HomePolicy, LoadRow,
-    MemberRecord, MemberTable, PullReply, RelayView, StoreChange, StoreReplica, homes_digest,
-    server_tag,
+    ChangeBatch, ChangeOrigin, ConfirmationRecord, FleetSurvey, HeardHeartbeat, HeartbeatMessage,
+    HomePolicy, LoadRow, MemberRecord, MemberTable, PullReply, RelayView, StoreChange,
+    StoreReplica, homes_digest, server_tag,
 };
 use model::{
     ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
@@ -72,9 +72,9 @@
     pub replica: StoreReplica,
     pub records: DecodedRecords,
     pub members: MemberTable,
-    /// When the store last confirmed, to this instance or to one that reported it, that the replica
-    /// is the newest state.
-    pub confirmed_at: Option<MonoTime>,
+    /// When the store confirmed, to this instance or to one that reported it, that the replica is the
+    /// newest state.
+    confirmations: ConfirmationRecord,
     /// When a first snapshot of the store, possibly out of date, was read.
     pub snapshot_at: Option<MonoTime>,
     /// Whether this instance's own calls to the store fail.
@@ -107,7 +107,7 @@
             replica: StoreReplica::default(),
             records: DecodedRecords::default(),
             members: MemberTable::new(this),
-            confirmed_at: None,
+            confirmations: ConfirmationRecord::default(),
             snapshot_at: None,
             store_lost: false,
             is_watching: false,
@@ -267,9 +267,20 @@
         self.relay_view().pull_sources(&ahead, now.since(since))
     }
 
+    /// When the store last confirmed the replica; `None` if it never did.
+    pub fn confirmed_at(&self) -> Option<MonoTime> {
+        self.confirmations.confirmed_at()
+    }
+
     /// Time since the store last confirmed the replica; [`Duration::MAX`] if it never did.
     pub fn confirmed_age(&self, now: MonoTime) -> Duration {
-        self.confirmed_at.map_or(Duration::MAX, |at| now.since(at))
+        self.confirmed_at().map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// Whether a record that vanishes now may have expired during an outage of the store that ended at
+    /// most `period` ago, or that lasts.
+    pub fn may_follow_outage(&self, now: MonoTime, period: Duration) -> bool {
+        self.confirmations.may_follow_outage(now, period)
     }
 
     /// Records that the store confirmed revision `as_of` `age` ago. Ignored unless the replica is
@@ -278,13 +289,13 @@
         if as_of != self.replica.as_of() {
             return;
         }
-        self.confirmed_at = self.confirmed_at.max(Some(now.before(age)));
+        self.confirmations.record(now, now.before(age));
     }
 
     /// Whether the store has confirmed the replica to other instances since this instance's own call
     /// failed.
     pub fn is_confirmed_by_others(&self, now: MonoTime) -> bool {
-        let is_newer = self.confirmed_at > self.store_failed_at;
+        let is_newer = self.confirmed_at() > self.store_failed_at;
         self.store_lost && is_newer && self.confirmed_age(now) < STORE_CONFIRMED_AGE_MAX
     }
 
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use store::replicated::ItemState;
 
-/// How long a server stays in use after its record vanished while the store was failing. Less than
+/// How long a server stays in use after its record vanished around an outage of the store. Less than
 /// the two seconds in which a leaving server may still get requests.
 const VANISHED_TTL: Duration = Duration::from_millis(1_800);
 
@@ -115,7 +115,7 @@
     state.registrar.borrow_mut().withdraw(name);
 }
 
-/// Stops using a server whose record is gone. If it vanished while the store was failing, the server
+/// Stops using a server whose record is gone. If it vanished around an outage of the store, the server
 /// stays in use for [`VANISHED_TTL`]: live servers announce themselves again within that time, which
 /// counts from when the record vanished, however long the store keeps failing.
 fn withdraw_server(state: &Rc<GatewayState>, key: ServerKey, is_replaced: bool) {
@@ -123,8 +123,8 @@
     let is_eligible = state.queue().estimates.server(&key).is_some_and(BackendState::is_eligible);
     let mut fleet = state.fleet();
     // While the store works, a record vanishes only when its server is gone.
-    let failed_recently = fleet.store_failed_at.is_some_and(|at| now.since(at) < VANISHED_TTL);
-    if !is_eligible || !failed_recently || is_replaced {
+    let may_have_expired = fleet.may_follow_outage(now, VANISHED_TTL);
+    if !is_eligible || !may_have_expired || is_replaced {
         drop(fleet);
         state.queue().estimates.remove_server(&key);
         return;
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -115,7 +115,7 @@
 /// store has never confirmed the replica.
 fn is_current(state: &GatewayState) -> bool {
     let fleet = state.fleet_ref();
-    fleet.confirmed_at.is_none() || fleet.confirmed_age(state.now()) < REGISTERED_CHECK_INTERVAL
+    fleet.confirmed_at().is_none() || fleet.confirmed_age(state.now()) < REGISTERED_CHECK_INTERVAL
 }
 
 /// Runs one round of registration, after `failed_rounds` failed ones. Returns whether it succeeded.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -217,7 +217,7 @@
             self.peer_pool.retain(|_| false);
             self.sync_wakeup.notify_one();
         }
-        pauses.is_outdated(now, self.fleet_ref().confirmed_at)
+        pauses.is_outdated(now, self.fleet_ref().confirmed_at())
     }
 
     /// Waits, after a pause, until the view of the fleet is confirmed or that takes too long.
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -6,7 +6,10 @@
 use crate::records::{apply_records, preview_records, refresh_fleet};
 use crate::registration::is_registered;
 use crate::state::GatewayState;
-use fleet::{ChangeBatch, StoreChange, StoreSnapshot, WatchDuty, WatchInputs, watch_duty};
+use fleet::{
+    CallFailure, ChangeBatch, StoreChange, StoreRetry, StoreSnapshot, WatchDuty, WatchInputs,
+    watch_duty,
+};
 use model::{Millis, StoreRevision};
 use rand::RngExt;
 use rand::seq::SliceRandom;
@@ -28,10 +31,6 @@
 const WATCHERS: usize = 2;
 /// Interval between checks whether this instance should watch.
 const DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay after the first failed call; doubled with each failure up to [`RETRY_DELAY_MAX`].
-const RETRY_DELAY_FIRST: Duration = Duration::from_millis(100);
-/// Longest delay after a failed call.
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 /// How long an instance without a record in the store waits before it watches. Until it is
 /// registered it knows few other instances and would count itself among the watchers.
 const REGISTERED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -43,13 +42,13 @@
 const UNSTAGGERED_MEMBERS_MAX: usize = 150;
 /// Time on the store's link that the first read of one instance takes in a large fleet.
 const FIRST_READ_PERIOD: Duration = Duration::from_millis(6);
-/// Replaces [`WATCH_TIMEOUT`] until the store has confirmed the replica. Short, because the reply
-/// confirms the first snapshot, which may be out of date.
-const FIRST_WATCH_TIMEOUT: Millis = Millis(1);
+/// Replaces [`WATCH_TIMEOUT`] until the store has confirmed the replica, which may be out of date, and
+/// after a failed call.
+const CHECK_WATCH_TIMEOUT: Millis = Millis(1);
 
 /// Keeps the replica up to date until the process ends.
 pub(crate) async fn run_sync(state: Rc<GatewayState>) {
-    let mut delay = RETRY_DELAY_FIRST;
+    let mut retry = StoreRetry::default();
     let mut needs_read = !read_first_snapshot(&state).await;
     state.first_snapshot.notify_one();
     wait_registered(&state).await;
@@ -65,30 +64,44 @@
         }
         state.fleet().is_watching = true;
         let after = state.fleet_ref().replica.as_of();
+        let called_at = state.now();
         let result = if after == StoreRevision(0) {
             // Confirmed by the watch that follows.
             read_store(&state, ReadFreshness::MayBeOld).await.map(|()| needs_read = false)
         } else if needs_read {
             read_store(&state, ReadFreshness::Newest).await.map(|()| needs_read = false)
         } else {
-            watch_store(&state, after).await.map(|is_complete| needs_read = !is_complete)
+            let timeout = watch_timeout(&state, &retry);
+            let watched = watch_store(&state, after, timeout).await;
+            watched.map(|is_complete| needs_read = !is_complete)
         };
         match result {
             Ok(()) => {
-                delay = RETRY_DELAY_FIRST;
+                retry.record_success();
                 record_store_state(&state, true);
             }
             Err(cause) => {
-                record_store_failure(&state, &cause);
-                let jittered = delay.mul_f64(rand::rng().random_range(0.7..1.3));
+                if retry.record_failure(failure_of(&cause, state.now().since(called_at))) {
+                    record_store_failure(&state, &cause);
+                } else {
+                    state.log.state("store_call_cut", &format_smolstr!("{cause}"));
+                }
+                let jittered = retry.delay().mul_f64(rand::rng().random_range(0.7..1.3));
                 let _ = tokio::time::timeout(jittered, state.sync_wakeup.notified()).await;
                 catch_up(&state).await;
-                delay = (delay * 2).min(RETRY_DELAY_MAX);
             }
         }
     }
 }
 
+/// Returns how a call failed that took this long.
+fn failure_of(cause: &StoreError, took: Duration) -> CallFailure {
+    match cause {
+        StoreError::MayBeApplied(_) if took < WATCH_TIMEOUT.duration() => CallFailure::Broken,
+        _ => CallFailure::NoReply,
+    }
+}
+
 /// Reads a first snapshot of the store, which may be out of date, or fetches it from another
 /// instance. Returns whether there is one.
 async fn read_first_snapshot(state: &Rc<GatewayState>) -> bool {
@@ -167,7 +180,7 @@
     if fleet.replica.as_of() == StoreRevision(0) {
         return WatchDuty::Watch;
     }
-    let current_since = fleet.snapshot_at.max(fleet.confirmed_at);
+    let current_since = fleet.snapshot_at.max(fleet.confirmed_at());
     watch_duty(WatchInputs {
         rank: fleet.home_rank().unwrap_or_else(|| fleet.rank().max(WATCHERS)),
         watchers: WATCHERS,
@@ -214,12 +227,20 @@
     Ok(())
 }
 
+/// Returns how long the next watch waits for changes.
+fn watch_timeout(state: &GatewayState, retry: &StoreRetry) -> Millis {
+    let is_confirmed = state.fleet_ref().confirmed_at().is_some();
+    if is_confirmed && !retry.is_unsure() { WATCH_TIMEOUT } else { CHECK_WATCH_TIMEOUT }
+}
+
 /// Watches the store for changes after a revision. Returns `false` if some are missing and the
 /// store must be read again.
-async fn watch_store(state: &Rc<GatewayState>, after: StoreRevision) -> Result<bool, StoreError> {
+async fn watch_store(
+    state: &Rc<GatewayState>,
+    after: StoreRevision,
+    timeout: Millis,
+) -> Result<bool, StoreError> {
     let store = Rc::clone(&state.store.borrow());
-    let is_confirmed = state.fleet_ref().confirmed_at.is_some();
-    let timeout = if is_confirmed { WATCH_TIMEOUT } else { FIRST_WATCH_TIMEOUT };
     let result = store.watch(after, timeout).await;
     state.metrics.store_call("watch", result.is_ok());
     let StoreItems { as_of, items, .. } = match result? {
