Notices: Retry-After in the answer to a health check counts

Cause: only responses to requests were searched for the notice; a refused health check counted as failed, which keeps a server out for 150 ms.

Change: one module reads both notices, for all responses. A refused health check need not name its server.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,19 +1,18 @@
 //! One exchange with a backend server: builds the request and classifies the response.
 
 use crate::limit_reports::record_limit;
+use crate::notices::{record_leaving, record_quiet};
 use crate::slots::SlotGuard;
 use crate::state::GatewayState;
-use balance::{ExchangeOutcome, LoadReport, Placement, ProcessingSample};
+use balance::{ExchangeOutcome, LoadReport, ProcessingSample};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use link::{ConnectionChoice, LinkError, SendState};
 use model::{MonoTime, ServerKey, ServiceName};
-use rand::RngExt;
 use routing::Idempotency;
 use smol_str::{SmolStr, ToSmolStr, format_smolstr};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,11 +29,6 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// Value of the header with which a server says that it leaves.
-const LEAVING_VALUE: &str = "1";
-/// Longest time after the end of a server's quiet period in which instances return to it.
-const QUIET_SPREAD_MAX: Duration = Duration::from_millis(300);
-
 /// A caller's request in the form that is forwarded to backend servers.
 #[derive(Debug, Clone)]
 pub(crate) struct OutboundRequest {
@@ -169,7 +163,9 @@
         };
     }
     record_named_limit(state, &key, headers);
-    record_notices(state, guard.placement(), status, headers);
+    let address = guard.placement().address;
+    record_leaving(state, &key, address, headers);
+    record_quiet(state, &key, status, headers);
     if headers.contains_key(&names.not_run) {
         state.metrics.exchange("shed");
         guard.close(ExchangeOutcome::Shed);
@@ -236,56 +232,6 @@
     record_limit(state, state.now(), key, limit);
 }
 
-/// Records that a server said that it leaves, or that it wants no requests for a time.
-fn record_notices(
-    state: &GatewayState,
-    placement: &Placement,
-    status: StatusCode,
-    headers: &HeaderMap,
-) {
-    record_leaving(state, &placement.key, placement.address, headers);
-    let Some(value) = headers.get(header::RETRY_AFTER) else {
-        return;
-    };
-    if status != StatusCode::SERVICE_UNAVAILABLE {
-        return;
-    }
-    let period = value.to_str().ok().and_then(|text| state.binding.quiet_period(text));
-    let Some(period) = period else {
-        state.metrics.malformed_header("retry_after");
-        state.log.state("quiet_malformed", &format_smolstr!("{}: {value:?}", placement.key.name));
-        return;
-    };
-    // Spreads the return of many instances.
-    let spread = QUIET_SPREAD_MAX.min(period).mul_f64(rand::rng().random_range(0.0..1.0));
-    state.queue().estimates.record_quiet(state.now(), &placement.key, period + spread);
-    state.metrics.noticed("quiet");
-    let detail = format_smolstr!("{} for {} ms", placement.key.name, period.as_millis());
-    state.log.state("server_quiet", &detail);
-}
-
-/// Records that a server said that it leaves, and closes the idle connections to it.
-pub(crate) fn record_leaving(
-    state: &GatewayState,
-    key: &ServerKey,
-    address: SocketAddr,
-    headers: &HeaderMap,
-) {
-    let Some(value) = headers.get(&state.binding.headers().leaving) else {
-        return;
-    };
-    if value != LEAVING_VALUE {
-        state.metrics.malformed_header("leaving");
-        state.log.state("leaving_malformed", &format_smolstr!("{}: {value:?}", key.name));
-        return;
-    }
-    if state.queue().estimates.mark_leaving(state.now(), key) {
-        state.metrics.noticed("leaving");
-        state.log.state("server_leaving", &format_smolstr!("{} at {address}", key.name));
-    }
-    state.pool.retain(|known| *known != address);
-}
-
 fn classify_failure(state: &Rc<GatewayState>, guard: SlotGuard, cause: &LinkError) -> ExchangeEnd {
     let send_state = cause.send_state();
     let (label, outcome) = match (send_state, cause) {
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -4,8 +4,9 @@
 //! to the homes in datagrams with a few bytes for each server. A home checks a server itself when
 //! it receives no reports on it.
 
-use crate::exchange::{parse_load_report, record_leaving, record_named_limit};
+use crate::exchange::{parse_load_report, record_named_limit};
 use crate::fleet_state::{FleetState, LoadReach};
+use crate::notices::{record_leaving, record_quiet};
 use crate::peer_port::send_load_reports;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
@@ -257,6 +258,10 @@
     if server.as_ref() == Some(&target.key.name) {
         record_leaving(state, &target.key, target.address, response.headers());
     }
+    // A refusal need not name the server.
+    if server.as_ref().is_none_or(|server| *server == target.key.name) {
+        record_quiet(state, &target.key, response.status(), response.headers());
+    }
     match server {
         // A response to an earlier request on this connection.
         None => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod health_check;
 mod limit_reports;
 mod metrics;
+mod notices;
 mod peer_port;
 mod port;
 mod records;
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -10,6 +10,8 @@
 
 /// Requests sent after a notice.
 const REQUESTS: usize = 20;
+/// Health checks that may be on their way when the first refusal arrives.
+const CHECKS_ON_THE_WAY: usize = 1;
 /// Several times the longest interval between health checks of a server.
 const UNCHECKED_DURATION: Duration = Duration::from_millis(600);
 
@@ -95,6 +97,50 @@
     instance.close();
 }
 
+/// Guards against requests to a server that refused a health check with `Retry-After`.
+fn check_quiet_in_health_check(lines: &str) {
+    let (_store, server, instance) = start_with_server();
+    server.refuse_checks(lines);
+    wait_until("the server is left alone", || {
+        let response = call_work(&instance, "ok", "id");
+        response.status == 503 && response.body.trim() == "quiet"
+    });
+    let arrived = server.arrivals();
+    for index in 0..REQUESTS {
+        let response = call_work(&instance, "ok", &format!("id-{index}"));
+        assert_eq!((response.status, response.body.trim()), (503, "quiet"));
+    }
+    assert!(server.arrivals() <= arrived + CHECKS_ON_THE_WAY);
+    wait_unchecked(&server);
+    instance.close();
+}
+
+cases! { check_quiet_in_health_check {
+    in_a_named_refusal: ("t-server: first\r\nretry-after: 30\r\n");
+    in_a_refusal_without_a_name: ("retry-after: 30\r\n");
+} }
+
+/// A refused health check that asks for nothing, or that another server at the address refused, counts as
+/// failed and no more.
+fn check_refused_health_check(lines: &str) {
+    let (_store, server, instance) = start_with_server();
+    server.refuse_checks(lines);
+    let before = server.record.lock().expect("record").checks;
+    wait_until("a health check is refused", || {
+        server.record.lock().expect("record").checks > before
+    });
+    for index in 0..REQUESTS {
+        assert_ne!(call_work(&instance, "ok", &format!("id-{index}")).body.trim(), "quiet");
+    }
+    instance.close();
+}
+
+cases! { check_refused_health_check {
+    refused_by_another_server: ("t-server: second\r\nretry-after: 30\r\n");
+    refused_without_a_time: ("t-server: first\r\n");
+    refused_with_an_unreadable_time: ("t-server: first\r\nretry-after: soon\r\n");
+} }
+
 fn check_return(seconds: &str) {
     let (_store, server, instance) = start_with_server();
     server.set_notice(&format!("retry-after: {seconds}\r\n"), true);
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -39,6 +39,8 @@
     pub flooded: usize,
     /// Whether the responses to health checks never end.
     pub floods_checks: bool,
+    /// Header lines of the refusals with which it answers health checks, if it does.
+    pub check_refusal: Option<String>,
     /// Number of responses of which all but the dribbling rest was sent.
     pub dribbling: usize,
     /// Present behaviour.
@@ -92,6 +94,7 @@
             disconnected: 0,
             flooded: 0,
             floods_checks: false,
+            check_refusal: None,
             dribbling: 0,
             behaviour: Behaviour::Path,
             limit: None,
@@ -128,6 +131,11 @@
         (record.notice, record.refuses) = (notice.into(), refuses);
     }
 
+    /// Makes it refuse health checks with 503 and these header lines.
+    pub fn refuse_checks(&self, lines: &str) {
+        self.record.lock().expect("record").check_refusal = Some(lines.into());
+    }
+
     /// Number of requests that arrived, health checks included.
     pub fn arrivals(&self) -> usize {
         let record = self.record.lock().expect("record");
@@ -185,6 +193,11 @@
                     "0",
                 );
             }
+            let refusal = self.record.lock().expect("record").check_refusal.clone();
+            if let Some(lines) = refusal {
+                write!(stream, "HTTP/1.1 503 Full\r\n{lines}content-length: 0\r\n\r\n")?;
+                return Ok(true);
+            }
             let limit = self.limit_line();
             write!(stream, "{head}{limit}content-length: 0\r\n\r\n")?;
             return Ok(true);
