Soak: servers announce that they leave and ask for quiet

Servers say in their answers that they leave, up to 5 s before their records do, and one more fault makes a server refuse a third of the requests with Retry-After. The checks bind the process of the gateway that passed on or received the notice; a freeze of it excuses both, a disturbance of the server's connections the second.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -7,12 +7,12 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
-use axum::http::{HeaderMap, HeaderValue, StatusCode, Uri};
+use axum::http::{HeaderMap, HeaderValue, StatusCode, Uri, header};
 use axum::response::{IntoResponse, Response};
 use gateway::WireBinding;
 use platform::PlatformBinding;
 use rand::RngExt;
-use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -29,6 +29,9 @@
 /// How many times longer than normal a slow server takes.
 const SLOWDOWN_FACTOR: u32 = 7;
 
+/// Time for which a server that refuses a request wants no others.
+pub const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// How a server behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerFault {
@@ -42,6 +45,8 @@
     Fail,
     /// Runs requests and ends the connection in the middle of half of the responses.
     Cut,
+    /// Refuses a third of the requests and wants none for [`QUIET_PERIOD`].
+    Quiet,
 }
 
 struct ServerState {
@@ -50,6 +55,7 @@
     /// Requests a second that the server accepts; 0 without a limit.
     limit: AtomicU32,
     running: AtomicU32,
+    is_leaving: AtomicBool,
     verifier: Arc<RunVerifier>,
     binding: PlatformBinding,
 }
@@ -72,6 +78,11 @@
         self.state.fault.store(fault as u8, Ordering::Relaxed);
     }
 
+    /// Makes the server say in all its answers that it leaves.
+    pub fn begin_leaving(&self) {
+        self.state.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Makes the server name a limit on the requests that it accepts in a second.
     pub fn begin_limit(&self, per_s: u32) {
         self.state.verifier.begin_limit(&self.name, per_s);
@@ -123,6 +134,7 @@
             fault: AtomicU8::new(ServerFault::None as u8),
             limit: AtomicU32::new(0),
             running: AtomicU32::new(0),
+            is_leaving: AtomicBool::new(false),
             verifier: Arc::clone(&self.verifier),
             binding: PlatformBinding::default(),
         });
@@ -180,6 +192,9 @@
     };
     add_header(&names.load, &load);
     add_header(&names.server, &state.name);
+    if state.is_leaving.load(Ordering::Relaxed) {
+        add_header(&names.leaving, "1");
+    }
     let limit = state.limit.load(Ordering::Relaxed);
     if limit > 0 {
         add_header(&names.limit, &limit.to_string());
@@ -210,6 +225,12 @@
         let header = [(names.not_run.clone(), "1")];
         return (StatusCode::SERVICE_UNAVAILABLE, header).into_response();
     }
+    if fault == ServerFault::Quiet as u8 && rand::rng().random_bool(0.33) {
+        state.verifier.record_quiet_notice(&state.name, &id, QUIET_PERIOD);
+        let period = QUIET_PERIOD.as_secs_f64().to_string();
+        let headers = [(names.not_run.clone(), "1".into()), (header::RETRY_AFTER, period)];
+        return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
+    }
     state.verifier.record_run(&state.name, &id, !uri.path().starts_with("/book/"));
     state.running.fetch_add(1, Ordering::Relaxed);
     let guard = RunningGuard(&state.running);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,11 +1,12 @@
 //! Callers, which get addresses from the directory, keep connections open and record each outcome.
 
+use crate::notices::GatewayProcess;
 use crate::process::GatewayFleet;
 use crate::verifier::{RequestOutcome, RunVerifier};
 use anyhow::{Result, anyhow};
 use bytes::Bytes;
 use gateway::WireBinding;
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
@@ -120,7 +121,7 @@
         let is_idempotent = self.random.random_bool(0.6);
         let outcome = match self.connect().await {
             Some((address, sender)) => {
-                self.verifier.record_request();
+                self.verifier.record_request(&id, self.process_at(address));
                 self.send(address, sender, &id, is_idempotent).await
             }
             None => RequestOutcome::Unanswered,
@@ -128,6 +129,24 @@
         self.verifier.record_outcome(&id, is_idempotent, outcome);
     }
 
+    /// Returns the process of the gateway at an address.
+    fn process_at(&self, address: SocketAddr) -> GatewayProcess {
+        let is_there = |index: &usize| self.fleet.addresses(*index).callers == address;
+        let index = (0..self.fleet.count()).find(is_there).unwrap_or_default();
+        GatewayProcess { index, start_count: self.fleet.start_count(index) }
+    }
+
+    /// Records a server's notice in a response of the process that the request was sent to.
+    fn record_leaving_notice(&self, headers: &HeaderMap, gateway: GatewayProcess) {
+        let names = self.binding.headers();
+        let server = headers.get(&names.server).and_then(|name| name.to_str().ok());
+        if let Some(server) = server
+            && headers.contains_key(&names.leaving)
+        {
+            self.verifier.record_leaving_notice(server, gateway);
+        }
+    }
+
     /// Requests addresses from up to three random gateways if there are none or they are too old.
     /// Closes the connection if its address is no longer among them.
     async fn refresh_addresses(&mut self) {
@@ -188,6 +207,7 @@
                 return RequestOutcome::Unanswered;
             }
         };
+        let gateway = self.process_at(address);
         let whole_response = async {
             let response = sender.try_send_request(request).await.map_err(|mut failure| {
                 // The error returns the request if it was not sent.
@@ -202,6 +222,7 @@
             Ok(Err(false)) => return RequestOutcome::Broken,
             Ok(Ok(response)) => response,
         };
+        self.record_leaving_notice(&parts.headers, gateway);
         let closes = parts.headers.get(header::CONNECTION).is_some_and(|value| value == "close");
         if !closes {
             self.connection = Some((address, sender));
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,6 +1,6 @@
 //! Injects random faults, one after another and overlapping.
 
-use crate::backend::{BackendFleet, ServerFault, StandinServer};
+use crate::backend::{BackendFleet, QUIET_PERIOD, ServerFault, StandinServer};
 use crate::process::{GRACE_PERIOD, GatewayFleet};
 use crate::proxy::{FaultProxy, ProxyMode};
 use crate::store::{StoreFault, StoreStandin};
@@ -14,6 +14,8 @@
 
 /// Time from marking a server's record as leaving until the record is removed from the store.
 const DRAIN_DURATION: Duration = Duration::from_secs(3);
+/// Longest time, in milliseconds, for which a server says that it leaves before its record does.
+const NOTICE_MAX_MS: u64 = 5_000;
 /// Largest offset of a gateway's clock in either direction, in seconds.
 const CLOCK_OFFSET_MAX_S: i64 = 6;
 /// How often in a run all gateways are killed at once.
@@ -53,7 +55,7 @@
     while Instant::now() < until {
         let fault_duration = Duration::from_millis(random.random_range(300..2_500));
         // Choices below 4 are planned work.
-        let choice = random.random_range(0..if kinds == FaultKinds::Planned { 4 } else { 13 });
+        let choice = random.random_range(0..if kinds == FaultKinds::Planned { 4 } else { 14 });
         let index = random.random_range(0..fleet.count());
         affected.retain(|(_, end)| *end > Instant::now());
         // One fault at a time per gateway, and at least one gateway without a fault.
@@ -77,9 +79,10 @@
             3 if active.len() > 4 => {
                 servers.add(store).await?;
                 servers.remove(&server.name);
-                verifier.record_leaving(&server.name);
-                store.put_server(&server.name, server.proxy.address, server.data_centre, true);
-                tasks.push(tokio::spawn(remove_after_drain(store.clone(), server)));
+                server.begin_leaving();
+                let notice = Duration::from_millis(random.random_range(0..NOTICE_MAX_MS));
+                let verifier = Arc::clone(verifier);
+                tasks.push(tokio::spawn(leave(store.clone(), server, notice, verifier)));
             }
             4 if may_disrupt => {
                 affected.push((index, Instant::now() + Duration::from_secs(2)));
@@ -88,10 +91,11 @@
             5 if may_disrupt => {
                 affected.push((index, Instant::now() + fault_duration));
                 fleet.signal(index, Signal::STOP)?;
+                verifier.record_freeze(index);
                 let (fleet, verifier) = (Arc::clone(fleet), Arc::clone(verifier));
                 tasks.push(tokio::spawn(async move {
                     tokio::time::sleep(fault_duration).await;
-                    verifier.record_fault();
+                    verifier.record_freeze(index);
                     fleet.signal(index, Signal::CONT)
                 }));
             }
@@ -117,21 +121,24 @@
                 fault_duration,
                 Arc::clone(verifier),
             ))),
-            9 => tasks.push(tokio::spawn(disturb_connections(
-                server.proxy.clone(),
-                proxy_mode(&mut random),
-                fault_duration,
-                Arc::clone(verifier),
-            ))),
+            9 => {
+                verifier.record_disturbance(&server.name, fault_duration);
+                tasks.push(tokio::spawn(disturb_connections(
+                    server.proxy.clone(),
+                    proxy_mode(&mut random),
+                    fault_duration,
+                    Arc::clone(verifier),
+                )));
+            }
             10 => {
                 let faults =
                     [ServerFault::Slow, ServerFault::Shed, ServerFault::Fail, ServerFault::Cut];
-                server.set_fault(faults[random.random_range(0..faults.len())]);
-                tasks.push(tokio::spawn(async move {
-                    tokio::time::sleep(fault_duration).await;
-                    server.set_fault(ServerFault::None);
-                    Ok(())
-                }));
+                let fault = faults[random.random_range(0..faults.len())];
+                tasks.push(tokio::spawn(disturb_server(server, fault, fault_duration)));
+            }
+            13 => {
+                let duration = fault_duration + QUIET_PERIOD;
+                tasks.push(tokio::spawn(disturb_server(server, ServerFault::Quiet, duration)));
             }
             11 if may_disrupt => {
                 let offset = random.random_range(-CLOCK_OFFSET_MAX_S..=CLOCK_OFFSET_MAX_S);
@@ -176,6 +183,17 @@
     }
 }
 
+async fn disturb_server(
+    server: StandinServer,
+    fault: ServerFault,
+    duration: Duration,
+) -> Result<()> {
+    server.set_fault(fault);
+    tokio::time::sleep(duration).await;
+    server.set_fault(ServerFault::None);
+    Ok(())
+}
+
 async fn disturb_connections(
     proxy: FaultProxy,
     mode: ProxyMode,
@@ -207,7 +225,17 @@
     fleet.launch(index)
 }
 
-async fn remove_after_drain(store: StoreStandin, server: StandinServer) -> Result<()> {
+/// Marks the record of a server as leaving `notice` after the server began to say so itself, and removes
+/// it later.
+async fn leave(
+    store: StoreStandin,
+    server: StandinServer,
+    notice: Duration,
+    verifier: Arc<RunVerifier>,
+) -> Result<()> {
+    tokio::time::sleep(notice).await;
+    verifier.record_leaving(&server.name);
+    store.put_server(&server.name, server.proxy.address, server.data_centre, true);
     tokio::time::sleep(DRAIN_DURATION).await;
     store.remove_server(&server.name);
     Ok(())
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 mod fault;
 mod limits;
+mod notices;
 mod process;
 mod proxy;
 mod store;
--- a/crates/soak/src/verifier.rs
+++ b/crates/soak/src/verifier.rs
@@ -1,5 +1,6 @@
 //! Records what callers and backend servers observe in a run, and reports violated guarantees.
 
+use crate::notices::{GatewayProcess, NoticeWatch};
 use smol_str::SmolStr;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -132,6 +133,7 @@
     fault_at: Option<Instant>,
     /// Ids of the requests with the outcome [`RequestOutcome::Broken`].
     broken: Vec<SmolStr>,
+    notices: NoticeWatch,
     findings: Vec<String>,
 }
 
@@ -253,9 +255,32 @@
         }
     }
 
-    /// Records that a caller sends a request now.
-    pub fn record_request(&self) {
-        self.lock().requests.push(Instant::now());
+    /// Records that a caller sends a request to a gateway now.
+    pub fn record_request(&self, id: &str, gateway: GatewayProcess) {
+        let mut state = self.lock();
+        state.requests.push(Instant::now());
+        state.notices.record_sent(id, gateway);
+    }
+
+    /// Records that a gateway passed on that a server leaves.
+    pub fn record_leaving_notice(&self, server: &str, gateway: GatewayProcess) {
+        self.lock().notices.record_leaving(server, gateway);
+    }
+
+    /// Records that a server refuses a request and wants none for `period`.
+    pub fn record_quiet_notice(&self, server: &str, id: &str, period: Duration) {
+        self.lock().notices.record_quiet(server, id, period);
+    }
+
+    /// Records that a server's responses may be lost or late for a time.
+    pub fn record_disturbance(&self, server: &str, period: Duration) {
+        self.lock().notices.record_disturbance(server, period);
+    }
+
+    /// Records that a gateway stands still or goes on.
+    pub fn record_freeze(&self, index: usize) {
+        self.record_fault();
+        self.lock().notices.record_freeze(index);
     }
 
     /// Records that a server limits its requests from now on.
@@ -278,6 +303,8 @@
         if let Some(watch) = state.limited.get_mut(server) {
             watch.arrivals.push(Instant::now());
         }
+        let unheeded = state.notices.record_arrival(server, id);
+        state.findings.extend(unheeded);
         if id.starts_with("probe-") {
             state.requests.push(Instant::now());
         }
