Signals are caught before anything else

Cause: signals were caught as the duties began, after the settings were read and the ports were open.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 use crate::side_port::{handle_directory, handle_metrics, handle_ready};
 use crate::slots::run_queue;
 use crate::state::{GatewayDecoder, GatewayState};
-use crate::stop::{run_reload, run_stop, wait_signal};
+use crate::stop::{ProcessSignals, run_reload, run_stop};
 use crate::store_sync::run_sync;
 use crate::supervise::spawn_duty;
 use model::IncarnationId;
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use store::ReplicaStore;
+use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 
 /// Settings and platform parts of an instance.
@@ -36,12 +37,25 @@
     pub store: Rc<dyn ReplicaStore>,
 }
 
-/// Runs an instance until it receives a signal to stop and its requests have ended.
+/// Builds the runtime of an instance.
 ///
 /// # Errors
-/// A port cannot be opened, or signals cannot be received.
-pub fn run_gateway(parts: GatewayParts) -> anyhow::Result<()> {
-    run_gateway_until(parts, wait_signal())
+/// The system refuses what the runtime needs.
+pub fn gateway_runtime() -> std::io::Result<Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+/// Runs an instance until it receives a signal to stop and its requests have ended. `signals` were caught
+/// on `runtime`.
+///
+/// # Errors
+/// A port cannot be opened.
+pub fn run_gateway(
+    runtime: &Runtime,
+    signals: ProcessSignals,
+    parts: GatewayParts,
+) -> anyhow::Result<()> {
+    LocalSet::new().block_on(runtime, run_tasks(parts, signals.wait_stop()))
 }
 
 /// Runs an instance like [`run_gateway`], with `stop_requested` in place of the signals.
@@ -52,7 +66,7 @@
     parts: GatewayParts,
     stop_requested: impl Future<Output = anyhow::Result<()>>,
 ) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = gateway_runtime()?;
     LocalSet::new().block_on(&runtime, run_tasks(parts, stop_requested))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,6 @@
 mod supervise;
 
 pub use binding::{HeaderNames, WireBinding};
-pub use gateway::{GatewayParts, run_gateway, run_gateway_until};
+pub use gateway::{GatewayParts, gateway_runtime, run_gateway, run_gateway_until};
 pub use settings_file::{GatewaySettings, read_settings};
-pub use stop::StopPlan;
+pub use stop::{ProcessSignals, StopPlan};
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -13,6 +13,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::runtime::Runtime;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Time before the end of the grace period at which the process exits, and the largest share of the
@@ -78,15 +79,35 @@
     }
 }
 
-/// Waits for a signal to stop, `SIGTERM` or `SIGINT`.
-pub(crate) async fn wait_signal() -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals of the process. None ends it any more once they are caught.
+pub struct ProcessSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl ProcessSignals {
+    /// Catches the signals on a runtime. A process that is not set up yet needs no reload, so `SIGHUP`
+    /// has no effect until then.
+    ///
+    /// # Errors
+    /// A signal can't be caught.
+    pub fn catch(runtime: &Runtime) -> std::io::Result<Self> {
+        let _guard = runtime.enter();
+        drop(signal(SignalKind::hangup())?);
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for a signal to stop, `SIGTERM` or `SIGINT`.
+    pub(crate) async fn wait_stop(mut self) -> anyhow::Result<()> {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+        Ok(())
     }
-    Ok(())
 }
 
 /// Waits for the request to stop, drains the instance, and returns when the process may exit.
