Log: lines on refused input are limited by event

What was seen: a flood of 2,000 malformed datagrams wrote 384 log lines, all that the log admits, and took the place of lines on changes of state.

Change: five lines a second for each event that others can cause at any rate; the next line says how many were left out, a counter has all of them. Malformed records keep a line each, with key and reason.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -209,7 +209,7 @@
     let report = value.to_str().ok().and_then(|text| state.binding.load_report(text));
     if report.is_none() {
         state.metrics.malformed_header("load");
-        state.log.state("load_malformed", &format_smolstr!("{}: {value:?}", key.name));
+        state.log_input_fault("load_malformed", &format_smolstr!("{}: {value:?}", key.name));
     }
     report
 }
@@ -223,7 +223,10 @@
             let rate = value.to_str().ok().and_then(|text| state.binding.request_limit(text));
             if rate.is_none() {
                 state.metrics.malformed_header("limit");
-                state.log.state("limit_malformed", &format_smolstr!("{}: {value:?}", key.name));
+                state.log_input_fault(
+                    "limit_malformed",
+                    &format_smolstr!("{}: {value:?}", key.name),
+                );
                 return;
             }
             rate
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod port;
 mod records;
 mod registration;
+mod repeat_limit;
 mod serve;
 mod settings_file;
 mod side_port;
@@ -30,5 +31,6 @@
 
 pub use binding::{HeaderNames, WireBinding};
 pub use gateway::{GatewayParts, gateway_runtime, run_gateway, run_gateway_until};
+pub use repeat_limit::RepeatLimit;
 pub use settings_file::{GatewaySettings, read_settings};
 pub use stop::{ProcessSignals, StopPlan};
--- a/crates/gateway/src/limit_reports.rs
+++ b/crates/gateway/src/limit_reports.rs
@@ -98,7 +98,7 @@
 /// Applies the report of another instance.
 pub(crate) fn apply_limits(state: &Rc<GatewayState>, message: LimitMessage) {
     if !message.is_valid() {
-        state.log.state("datagram_malformed", &format_smolstr!("rates of {}", message.name));
+        state.log_input_fault("datagram_malformed", &format_smolstr!("rates of {}", message.name));
         return;
     }
     let now = state.now();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
     refused: IntCounterVec,
     rejected: IntCounterVec,
     malformed_headers: IntCounterVec,
+    input_faults: IntCounterVec,
     panics: IntCounterVec,
     notices: IntCounterVec,
     write_timeouts: IntCounterVec,
@@ -116,6 +117,12 @@
                 "Headers of backend servers that could not be read, by header",
                 &["header"],
             ),
+            input_faults: counters(
+                &registry,
+                "lacewing_input_faults_total",
+                "input that was refused, by the event of its log lines",
+                &["event"],
+            ),
             panics: counters(
                 &registry,
                 "lacewing_panics_total",
@@ -232,6 +239,10 @@
     }
 
     /// Counts a header of a backend server that could not be read.
+    pub fn input_fault(&self, event: &str) {
+        self.input_faults.with_label_values(&[event]).inc();
+    }
+
     pub fn malformed_header(&self, header: &str) {
         self.malformed_headers.with_label_values(&[header]).inc();
     }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -26,7 +26,7 @@
     };
     if value != LEAVING_VALUE {
         state.metrics.malformed_header("leaving");
-        state.log.state("leaving_malformed", &format_smolstr!("{}: {value:?}", key.name));
+        state.log_input_fault("leaving_malformed", &format_smolstr!("{}: {value:?}", key.name));
         return;
     }
     if state.queue().estimates.mark_leaving(state.now(), key) {
@@ -52,7 +52,7 @@
     let period = value.to_str().ok().and_then(|text| state.binding.quiet_period(text));
     let Some(period) = period else {
         state.metrics.malformed_header("retry_after");
-        state.log.state("quiet_malformed", &format_smolstr!("{}: {value:?}", key.name));
+        state.log_input_fault("quiet_malformed", &format_smolstr!("{}: {value:?}", key.name));
         return;
     };
     // Spreads the return of many instances.
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -179,7 +179,7 @@
         match state.socket.recv_from(&mut buffer).await {
             Ok((length, from)) => handle_datagram(&state, &buffer[..length], from),
             Err(cause) => {
-                state.log.state("datagram_failed", &format_smolstr!("{cause}"));
+                state.log_input_fault("datagram_failed", &format_smolstr!("{cause}"));
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             }
         }
@@ -200,7 +200,7 @@
             }
         }
         Err(cause) => {
-            state.log.state("datagram_malformed", &format_smolstr!("{from}: {cause}"));
+            state.log_input_fault("datagram_malformed", &format_smolstr!("{from}: {cause}"));
         }
     }
 }
--- a/crates/gateway/src/port.rs
+++ b/crates/gateway/src/port.rs
@@ -79,7 +79,7 @@
                 spawn_task(&state, "connection", serving);
             }
             Err(cause) => {
-                state.log.state("accept_failed", &format_smolstr!("{cause}"));
+                state.log_input_fault("accept_failed", &format_smolstr!("{cause}"));
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -66,6 +66,7 @@
         Some(StoreRecord::Config(table)) => apply_config(state, table),
         Some(StoreRecord::Malformed(cause)) => {
             let detail = format_smolstr!("{}: {cause}", change.key);
+            state.metrics.input_fault("record_malformed");
             state.log.state("record_malformed", &detail);
         }
         Some(StoreRecord::Server(server)) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use crate::decision_log::DecisionLog;
 use crate::fleet_state::FleetState;
 use crate::metrics::GatewayMetrics;
+use crate::repeat_limit::RepeatLimit;
 use crate::settings_file::GatewaySettings;
 use crate::stop::StopSchedule;
 use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, RequestQueue};
@@ -66,6 +67,8 @@
     pub socket: UdpSocket,
     pub metrics: GatewayMetrics,
     pub log: DecisionLog,
+    /// Limits of the lines on input that was refused, by event.
+    input_faults: RefCell<HashMap<&'static str, RepeatLimit>>,
     pub fleet: RefCell<FleetState>,
     pub queue: RefCell<RequestQueue>,
     /// Queued requests that wait for a decision.
@@ -154,6 +157,7 @@
             socket,
             metrics: GatewayMetrics::default(),
             log,
+            input_faults: RefCell::default(),
             fleet: RefCell::new(FleetState::new(&settings, incarnation)),
             queue: RefCell::new(queue),
             waiters: RefCell::default(),
@@ -190,6 +194,20 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Counts and logs input that was refused, which others can cause at any rate. A line says how many
+    /// like it were left out before.
+    pub fn log_input_fault(&self, event: &'static str, detail: &str) {
+        self.metrics.input_fault(event);
+        let now = self.now();
+        match self.input_faults.borrow_mut().entry(event).or_default().admit(now) {
+            None => {}
+            Some(0) => self.log.state(event, detail),
+            Some(left_out) => {
+                self.log.state(event, &format_smolstr!("{detail} ({left_out} more left out)"));
+            }
+        }
+    }
+
     pub fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
     }
