--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,6 +1,11 @@
 //! Membership of the fleet: which instances exist and which are usable, from the store's records and
 //! from heartbeats.
 
+mod state;
+mod walk;
+
+use self::state::{HeardState, HeartbeatWait, MemberState};
+use self::walk::SurveyWalk;
 use crate::datagram::{HeardHeartbeat, HeartbeatMessage};
 use crate::home::{RankKey, choose_homes, first_of_each_centre};
 use crate::record::MemberRecord;
@@ -22,107 +27,11 @@
 const LOST_RELAYS_MIN: usize = 2 * RELAYS_PER_CENTRE;
 /// Time since the latest heartbeat after which an instance without a record in the store is dropped.
 const UNREGISTERED_TTL: Duration = Duration::from_secs(10);
-/// Number of members, by rank, that send heartbeats. If one fails, the next in rank replaces it.
-const SENDERS_MIN: usize = 5;
-/// Number of members that send heartbeats besides, at most, one for each that was lost lately. With
-/// each round of losses twice as many members are checked, so the survivors of a great loss find each
-/// other soon.
-const SENDERS_AFTER_LOSS_MAX: usize = 40;
-/// Time after a loss in which more heartbeats are expected.
-const LOSS_PERIOD: Duration = Duration::from_secs(5);
-/// Time after a loss in which more heartbeats are sent. Longer than [`LOSS_PERIOD`], as instances notice
-/// losses at different times.
-const LOSS_SENDING_PERIOD: Duration = Duration::from_secs(8);
 /// Largest fleet in which each sender reaches all members itself. In a larger one the relays of each
 /// data centre pass the heartbeats on.
 const DIRECT_MEMBERS_MAX: usize = 40;
 /// Number of members of each data centre that relay heartbeats there, if heartbeats are relayed.
 const RELAYS_PER_CENTRE: usize = 2;
-/// Number of usable members that a survey ranks at least. Later members do not act by their rank.
-const RANKED_MIN: usize = 20;
-
-#[derive(Debug, Clone)]
-struct MemberState {
-    record: MemberRecord,
-    /// Whether the store has a record of the member.
-    is_registered: bool,
-    /// Time from which heartbeats of the member are expected; `None` if it need not send any.
-    expected_since: Option<MonoTime>,
-    /// Whether expected heartbeats are overdue.
-    is_overdue: bool,
-    /// Whether the member was last known to be gone or not ready: it said so, or its heartbeats became
-    /// overdue while others arrived. Remains until it is heard again, expected or not.
-    is_lost: bool,
-    /// Since when the member is unresponsive; `None` while it is not.
-    unresponsive_since: Option<MonoTime>,
-}
-
-impl MemberState {
-    fn new(record: MemberRecord, is_registered: bool) -> Self {
-        Self {
-            record,
-            is_registered,
-            expected_since: None,
-            is_overdue: false,
-            is_lost: false,
-            unresponsive_since: None,
-        }
-    }
-
-    /// Forgets that heartbeats were expected, but not that the member was lost.
-    fn expect_none(&mut self) {
-        self.expected_since = None;
-        self.is_overdue = false;
-    }
-
-    /// Forgets that the member was lost; new heartbeats are waited for if any are expected.
-    fn forget_loss(&mut self) {
-        self.is_lost = false;
-        self.expect_none();
-    }
-
-    /// Returns whether heartbeats of the member, which are expected, are overdue.
-    ///
-    /// Once overdue, they remain so until one arrives, whatever else starts a new wait:
-    /// `direct_since` changes when this instance takes over the member's duty.
-    fn check_overdue(&mut self, heard_at: Option<MonoTime>, wait: HeartbeatWait) -> bool {
-        let HeartbeatWait { now, direct_since, timeout, hears_others } = wait;
-        let has_passed = |since: MonoTime| now.since(since) > timeout;
-        let expected_since = *self.expected_since.get_or_insert(now);
-        let waited = has_passed(expected_since) && direct_since.is_none_or(has_passed);
-        let was_overdue = self.is_overdue || self.is_lost;
-        self.is_overdue = heard_at.is_none_or(has_passed) && (was_overdue || waited);
-        self.is_lost |= self.is_overdue && hears_others;
-        self.is_overdue
-    }
-}
-
-/// What decides whether the heartbeats of a member are overdue.
-#[derive(Debug, Clone, Copy)]
-struct HeartbeatWait {
-    now: MonoTime,
-    /// Since when this instance receives heartbeats from their senders; `None` if they are relayed.
-    direct_since: Option<MonoTime>,
-    timeout: Duration,
-    /// Whether heartbeats of some members arrive. If none do, this instance may be the one that is cut
-    /// off.
-    hears_others: bool,
-}
-
-#[derive(Debug, Clone)]
-struct HeardState {
-    /// When the heartbeat was received, by this instance or by the one that relayed it.
-    at: MonoTime,
-    message: HeartbeatMessage,
-    /// Whether a relay reported the member as unresponsive since.
-    is_unresponsive: bool,
-}
-
-impl HeardState {
-    fn is_recent(&self, now: MonoTime) -> bool {
-        !self.is_unresponsive && now.since(self.at) <= HEARTBEAT_TIMEOUT
-    }
-}
 
 /// The members with a duty, as one instance determines them.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -505,113 +414,3 @@
         self.member(name).map(|state| state.record.incarnation)
     }
 }
-
-/// One pass over the members in rank order.
-struct SurveyWalk {
-    now: MonoTime,
-    /// Number of usable members of each data centre that have a duty.
-    per_centre: usize,
-    /// Usable members still to be found, by data centre.
-    missing: BTreeMap<DataCentre, usize>,
-    /// Members from which heartbeats are expected and that are not unresponsive, and this instance.
-    senders: usize,
-    expected: BTreeSet<RankKey>,
-    usable: Vec<RankKey>,
-    /// Usable members before this instance.
-    rank: Option<usize>,
-    /// Whether this instance sends heartbeats because of its rank.
-    is_sender: bool,
-    /// Members that became unresponsive within [`LOSS_PERIOD`].
-    lost: usize,
-    /// The same by data centre.
-    lost_by_centre: BTreeMap<DataCentre, usize>,
-    /// Members that became unresponsive within [`LOSS_SENDING_PERIOD`].
-    lost_for_sending: usize,
-}
-
-impl SurveyWalk {
-    fn new(now: MonoTime, per_centre: usize, centres: &BTreeMap<DataCentre, usize>) -> Self {
-        let missing =
-            centres.keys().map(|centre| (centre.clone(), per_centre)).collect::<BTreeMap<_, _>>();
-        Self {
-            now,
-            per_centre,
-            missing,
-            senders: 0,
-            expected: BTreeSet::new(),
-            usable: Vec::new(),
-            rank: None,
-            is_sender: false,
-            lost: 0,
-            lost_by_centre: BTreeMap::new(),
-            lost_for_sending: 0,
-        }
-    }
-
-    fn is_complete(&self) -> bool {
-        self.missing.is_empty() && self.usable.len() >= RANKED_MIN.max(self.per_centre)
-    }
-
-    fn visit_this(&mut self, place: &RankKey, this: &MemberRecord, is_ready: bool) {
-        self.rank = Some(self.usable.len());
-        let after_loss = self.lost_for_sending.min(SENDERS_AFTER_LOSS_MAX);
-        self.is_sender = self.usable.len() < SENDERS_MIN + after_loss;
-        if is_ready {
-            self.senders += 1;
-            self.add_usable(place, &this.data_centre);
-        }
-    }
-
-    /// Counts a member that is unresponsive, or that it is responsive again.
-    fn count_loss(&mut self, state: &mut MemberState, is_unresponsive: bool) {
-        if !is_unresponsive {
-            state.unresponsive_since = None;
-            return;
-        }
-        let lost_for = self.now.since(*state.unresponsive_since.get_or_insert(self.now));
-        if lost_for < LOSS_PERIOD {
-            self.lost += 1;
-            *self.lost_by_centre.entry(state.record.data_centre.clone()).or_default() += 1;
-        }
-        self.lost_for_sending += usize::from(lost_for < LOSS_SENDING_PERIOD);
-    }
-
-    /// Heartbeats are expected from the first [`SENDERS_MIN`] responsive members, more after losses, and
-    /// from the first usable ones of each data centre.
-    fn visit(
-        &mut self,
-        place: &RankKey,
-        state: &mut MemberState,
-        heard: Option<&HeardState>,
-        wait: HeartbeatWait,
-    ) {
-        let senders_max = SENDERS_MIN + self.lost.min(SENDERS_AFTER_LOSS_MAX);
-        let is_expected =
-            self.senders < senders_max || self.missing.contains_key(&state.record.data_centre);
-        let is_recent = heard.is_some_and(|heard| heard.is_recent(self.now));
-        let is_unresponsive = if is_expected {
-            self.expected.insert(place.clone());
-            let is_overdue = state.check_overdue(heard.map(|heard| heard.at), wait);
-            is_overdue || heard.is_some_and(|heard| heard.is_unresponsive)
-        } else {
-            state.expect_none();
-            state.is_lost && !is_recent
-        };
-        self.count_loss(state, is_unresponsive);
-        self.senders += usize::from(!is_unresponsive);
-        let reports_ready = heard.is_none_or(|heard| heard.message.is_ready);
-        if !is_unresponsive && reports_ready {
-            self.add_usable(place, &state.record.data_centre);
-        }
-    }
-
-    fn add_usable(&mut self, place: &RankKey, centre: &DataCentre) {
-        self.usable.push(place.clone());
-        if let Some(missing) = self.missing.get_mut(centre) {
-            *missing -= 1;
-            if *missing == 0 {
-                self.missing.remove(centre);
-            }
-        }
-    }
-}
