--- a/crates/fleet/tests/great_loss.rs
+++ b/crates/fleet/tests/great_loss.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use fleet::{HeartbeatMessage, MemberRecord, MemberTable};
-use model::{ConfigVersion, Millis, MonoTime, StoreRevision};
+use fleet::{MemberRecord, MemberTable};
+use model::MonoTime;
+use support::heartbeat;
 use testkit::cases;
 
 /// Interval between surveys and heartbeats, in milliseconds.
@@ -26,20 +27,6 @@
     support::record(index, ["north", "south", "west", "east"][index % 4])
 }
 
-fn heartbeat(member: MemberRecord) -> HeartbeatMessage {
-    HeartbeatMessage {
-        name: member.name.clone(),
-        incarnation: member.incarnation,
-        record: Some(member),
-        is_ready: true,
-        store_lost: false,
-        as_of: StoreRevision(1),
-        confirmed_age: Millis(0),
-        version: ConfigVersion(1),
-        homes: 0,
-    }
-}
-
 /// Plays a fleet of `count` members of which only `survivors` remain, and checks when all of these name
 /// each other only.
 fn check_loss(count: usize, survivors: &[usize]) {
@@ -68,7 +55,7 @@
         }
         for index in &alive {
             for sender in senders.iter().filter(|sender| *sender != index) {
-                tables[*index].record_heartbeat(at(now), heartbeat(record(*sender)));
+                tables[*index].record_heartbeat(at(now), heartbeat(record(*sender), true));
             }
         }
         match (names_survivors, named_at) {
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -6,9 +6,10 @@
     HeardHeartbeat, HeartbeatMessage, HomePolicy, MemberRecord, MemberTable, WatchDuty,
     WatchInputs, watch_duty,
 };
-use model::{ConfigVersion, IncarnationId, Millis, MonoTime, StoreRevision};
+use model::{IncarnationId, Millis, MonoTime};
 use std::collections::BTreeSet;
 use std::time::Duration;
+use support::heartbeat;
 use testkit::cases;
 
 const DATA_CENTRES: [&str; 3] = ["north", "south", "west"];
@@ -17,20 +18,6 @@
     support::record(index, DATA_CENTRES[index % DATA_CENTRES.len()])
 }
 
-fn heartbeat(member: MemberRecord, is_ready: bool) -> HeartbeatMessage {
-    HeartbeatMessage {
-        name: member.name.clone(),
-        incarnation: member.incarnation,
-        record: Some(member),
-        is_ready,
-        store_lost: false,
-        as_of: StoreRevision(1),
-        confirmed_age: Millis(0),
-        version: ConfigVersion(1),
-        homes: 0,
-    }
-}
-
 fn at(millis: u64) -> MonoTime {
     MonoTime(millis * 1_000)
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -1,7 +1,9 @@
-//! Records of members for the tests of fleet.
+//! Records and heartbeats of members for the tests of fleet.
 
-use fleet::MemberRecord;
-use model::IncarnationId;
+#![allow(dead_code)] // Each test file uses a part.
+
+use fleet::{HeartbeatMessage, MemberRecord};
+use model::{ConfigVersion, IncarnationId, Millis, StoreRevision};
 use std::net::SocketAddr;
 
 /// Record of member `index` in a data centre, with incarnation 1.
@@ -17,3 +19,18 @@
         capacity: 1,
     }
 }
+
+/// Heartbeat of a member, with its record.
+pub fn heartbeat(member: MemberRecord, is_ready: bool) -> HeartbeatMessage {
+    HeartbeatMessage {
+        name: member.name.clone(),
+        incarnation: member.incarnation,
+        record: Some(member),
+        is_ready,
+        store_lost: false,
+        as_of: StoreRevision(1),
+        confirmed_age: Millis(0),
+        version: ConfigVersion(1),
+        homes: 0,
+    }
+}
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::time::Duration;
 use support::backend::ScriptedBackend;
 use support::client::call;
 use support::fixture::{
@@ -16,7 +17,7 @@
 const CHECKS_AT_START_MAX: f64 = 8.0;
 
 /// Time in which the store refuses an instance that stops. Shorter than its grace period.
-const REFUSED_PERIOD: std::time::Duration = std::time::Duration::from_millis(300);
+const REFUSED_PERIOD: Duration = Duration::from_millis(300);
 
 /// Requests that a server with a limit of one request a second may get within four seconds.
 const LIMITED_REQUESTS_MAX: usize = 11;
