Gateway: messages between instances in modules by owner

Cause: 15 modules formed one circle of imports through peer_port, which sent, decoded and applied every message; new messages would tie it tighter. Change: peer_link sends and knows no meanings; heartbeats, change_relay, limit_reports and health_check build and apply their own messages; peer_port receives and dispatches. No behaviour changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,8 +3,10 @@
 use crate::binding::WireBinding;
 use crate::caller_port::handle_caller;
 use crate::health_check::run_health_checks;
+use crate::heartbeats::run_heartbeats;
 use crate::limit_reports::run_limit_reports;
-use crate::peer_port::{handle_peer, open_socket, run_datagrams, run_heartbeats};
+use crate::peer_link::open_socket;
+use crate::peer_port::{handle_peer, run_datagrams};
 use crate::port::{PortKind, open_port, serve_port};
 use crate::registration::{run_registrar, run_registration};
 use crate::settings_file::GatewaySettings;
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -7,12 +7,12 @@
 use crate::exchange::{parse_load_report, record_named_limit};
 use crate::fleet_state::{FleetState, LoadReach};
 use crate::notices::{record_leaving, record_quiet};
-use crate::peer_port::send_load_reports;
+use crate::peer_link::send_to;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
 use crate::supervise::spawn_task;
 use balance::{BackendState, LoadReport, ServerReach, check_interval};
-use fleet::{LoadRow, server_tag};
+use fleet::{LoadRow, PeerDatagram, server_tag};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use link::ConnectionChoice;
@@ -44,6 +44,9 @@
 /// Interval between checks whether this instance has servers to check.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Rows in one datagram of load reports.
+const LOAD_ROWS_MAX: usize = 120;
+
 #[derive(Debug, Clone)]
 struct CheckTarget {
     key: ServerKey,
@@ -147,6 +150,18 @@
         && server.report_age(now).is_none_or(|age| age > report_age_limit)
 }
 
+/// Sends load reports of this health checker to the homes.
+fn send_load_reports(state: &GatewayState, rows: &[LoadRow], reach: LoadReach) {
+    let queue = state.queue();
+    let addressed = state.fleet_ref().addressed_reports(rows, reach, queue.estimates.plan());
+    drop(queue);
+    for (target, rows) in addressed {
+        for chunk in rows.chunks(LOAD_ROWS_MAX) {
+            send_to(state, &PeerDatagram::LoadReports(chunk.to_vec()), &[target]);
+        }
+    }
+}
+
 /// Records load reports of a health checker.
 pub(crate) fn apply_load_reports(state: &Rc<GatewayState>, rows: &[LoadRow]) {
     let now = state.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,14 +7,17 @@
 mod binding;
 mod caller_port;
 mod caller_stream;
+mod change_relay;
 mod decision_log;
 mod exchange;
 mod fleet_state;
 mod gateway;
 mod health_check;
+mod heartbeats;
 mod limit_reports;
 mod metrics;
 mod notices;
+mod peer_link;
 mod peer_port;
 mod port;
 mod records;
--- a/crates/gateway/src/limit_reports.rs
+++ b/crates/gateway/src/limit_reports.rs
@@ -1,11 +1,11 @@
 //! Exchanges limits that backend servers set on the rate of their requests, and the request rates by
 //! which the instances share them. Silent while no server limits its requests.
 
-use crate::peer_port::send_limits;
+use crate::peer_link::send_to;
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
 use balance::{LimitStatement, LoadEstimates};
-use fleet::{LimitMessage, LimitRow, server_tag};
+use fleet::{LimitMessage, LimitRow, PeerDatagram, server_tag};
 use model::{InstanceName, MonoTime, RequestRate, ServerKey};
 use smol_str::format_smolstr;
 use std::collections::HashMap;
@@ -18,6 +18,9 @@
 /// Rate of requests from which on an instance that is no home reports, in requests a second.
 const REPORTED_RATE_MIN: f64 = 0.2;
 
+/// Rows in one datagram of limits; each takes up to 16 bytes.
+const LIMIT_ROWS_MAX: usize = 60;
+
 /// Reports limits and request rates periodically, and recomputes this instance's shares.
 pub(crate) async fn run_limit_reports(state: Rc<GatewayState>) {
     loop {
@@ -59,6 +62,17 @@
     }
 }
 
+/// Sends limits of servers to one instance.
+fn send_limits(state: &GatewayState, message: LimitMessage, target: SocketAddr) {
+    let LimitMessage { name, demands, limits } = message;
+    let chunks = limits.chunks(LIMIT_ROWS_MAX).map(<[LimitRow]>::to_vec);
+    let chunks = chunks.chain(limits.is_empty().then(Vec::new));
+    for limits in chunks {
+        let message = LimitMessage { name: name.clone(), demands: demands.clone(), limits };
+        send_to(state, &PeerDatagram::Limits(message), &[target]);
+    }
+}
+
 /// Datagram addresses of the instances that reported although they are no homes.
 fn other_reporters(state: &GatewayState, now: MonoTime, this: &InstanceName) -> Vec<SocketAddr> {
     let queue = state.queue.borrow();
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -4,7 +4,7 @@
 //! An instance asks the first live home to register it, or another live instance if it knows no
 //! home, then the seeds. It writes its own record only if that fails.
 
-use crate::peer_port::request_registration;
+use crate::peer_link::request_registration;
 use crate::state::GatewayState;
 use crate::store_sync::pull_from;
 use fleet::{ANNOUNCE_INTERVAL, LEASE_TTL, MemberRecord};
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -1,8 +1,9 @@
 //! Keeps the replica of the store up to date, by watching the store or from other instances.
 
-use crate::peer_port::{
-    announce_changes, notify_own_centre, pass_on_changes, pull_changes, send_watched_changes,
+use crate::change_relay::{
+    announce_changes, notify_own_centre, pass_on_changes, send_watched_changes,
 };
+use crate::peer_link::pull_changes;
 use crate::records::{apply_records, preview_records, refresh_fleet};
 use crate::registration::is_registered;
 use crate::state::GatewayState;
