Cold servers and evacuated data centres

Change: estimates::warm_up (a cold server's rate is split over the homes that may use it; a server that could not be reached or was evacuated counts as cold until a health check says otherwise), estimates::evacuation, one byte more in load reports. Only for services with a rate of cold servers and while the operators evacuate. Tests failed first: the rate with homes that are replaced, requests and health checks at an evacuated server from an instance that the store refuses.

--- a/crates/balance/src/estimates.rs
+++ b/crates/balance/src/estimates.rs
@@ -1,17 +1,19 @@
 //! Load estimates: the state of each backend server as this instance computes it from load reports
 //! and from its own exchanges.
 
+mod evacuation;
 mod limits;
 mod notices;
+mod warm_up;
 
 pub use limits::LimitStatement;
 
 use crate::demand::DemandTable;
 use crate::rate_limit::RateAllowance;
 use crate::reach::{ReachPlan, ServerReach};
-use model::{BackendSpec, DataCentre, InstanceName, MonoTime, ServerKey, ServiceName};
+use model::{BackendSpec, DataCentre, InstanceName, MonoTime, RequestRate, ServerKey, ServiceName};
 use notices::ServerNotice;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 /// Time constant of the exponential decay of a reported slowdown's weight; the mean slowdown of all
@@ -103,6 +105,13 @@
     allowance: Option<RateAllowance>,
     /// When the server last said that it limits its requests, or that it no longer does.
     limit_told_at: Option<MonoTime>,
+    /// This instance's part of the rate that the server accepts while it is cold; `None` if its service
+    /// has no such rate.
+    cold_allowance: Option<RateAllowance>,
+    /// Since when it is unknown whether the server is cold.
+    unproven_since: Option<MonoTime>,
+    /// Whether the server's data centre is evacuated.
+    is_evacuated: bool,
     /// Time until which the server wants no requests.
     quiet_until: MonoTime,
     /// Whether the server has asked for quiet and answered no request since.
@@ -129,6 +138,9 @@
             sent_count: 0,
             allowance: None,
             limit_told_at: None,
+            cold_allowance: None,
+            unproven_since: None,
+            is_evacuated: false,
             quiet_until: MonoTime(0),
             is_returning: false,
         }
@@ -146,7 +158,7 @@
 
     /// Whether the server may get requests now or after its backoff.
     pub fn is_eligible(&self) -> bool {
-        !self.spec.is_leaving && !self.is_misdirected
+        !self.spec.is_leaving && !self.is_misdirected && !self.is_evacuated
     }
 
     /// Returns the number of requests at the server, those of other instances included.
@@ -227,6 +239,7 @@
         let backoff = BACKOFF_FIRST * 2_u32.saturating_pow(self.failed_contacts.min(8));
         self.failed_contacts += 1;
         self.backoff_until = now.plus(backoff.min(BACKOFF_MAX));
+        self.doubt_warmth(now);
     }
 
     /// Records a load report unless a newer one is known. The report does not contain the requests
@@ -265,6 +278,13 @@
     /// Servers that limit the rate of their requests, or did so a short time ago.
     limited: HashSet<ServerKey>,
     notices: HashMap<ServerKey, ServerNotice>,
+    /// Rates that cold servers accept, by service.
+    cold_rates: HashMap<ServiceName, RequestRate>,
+    /// Whether servers may have allowances by earlier rates.
+    had_cold_rates: bool,
+    /// Since when this instance is a home; `None` if it is none.
+    home_since: Option<MonoTime>,
+    evacuated: BTreeSet<DataCentre>,
 }
 
 impl Default for LoadEstimates {
@@ -278,6 +298,10 @@
             demands: DemandTable::default(),
             limited: HashSet::new(),
             notices: HashMap::new(),
+            cold_rates: HashMap::new(),
+            had_cold_rates: false,
+            home_since: None,
+            evacuated: BTreeSet::new(),
         }
     }
 }
@@ -295,7 +319,9 @@
         let is_home = plan.includes(&this);
         self.this = Some((this, own_centre));
         self.plan = plan;
+        self.home_since = is_home.then(|| self.home_since.unwrap_or(now));
         self.share_limits(now);
+        self.share_cold_rates(now);
         if !was_home && !is_home {
             return;
         }
@@ -336,7 +362,9 @@
             if let Some(notice) = self.notices.get(&key) {
                 state.apply_notice(*notice);
             }
-            self.servers.insert(key, Box::new(state));
+            state.is_evacuated = self.evacuated.contains(&state.spec.data_centre);
+            self.servers.insert(key.clone(), Box::new(state));
+            self.share_cold_rate(now, &key);
             return;
         };
         let is_leaving = state.spec.is_leaving || spec.is_leaving;
@@ -350,6 +378,7 @@
         let spec = BackendSpec { is_leaving, ..spec };
         let earlier = std::mem::replace(&mut state.spec, spec.clone());
         state.reach = reach;
+        state.is_evacuated = self.evacuated.contains(&spec.data_centre);
         if is_moved {
             self.unindex_server(&earlier);
             self.index_server(&spec, reach);
@@ -423,6 +452,10 @@
             if let Some(allowance) = &mut state.allowance {
                 allowance.record_request(now);
             }
+            let is_cold = state.is_cold(now);
+            if let Some(allowance) = state.cold_allowance.as_mut().filter(|_| is_cold) {
+                allowance.record_request(now);
+            }
         }
     }
 
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -223,8 +223,8 @@
         let mut limited = LimitedCapacity::default();
         let mut are_all_limited = true;
         for state in usable {
-            if let Some(allowance) = state.allowance().filter(|known| !known.allows(now)) {
-                limited.add(allowance, now);
+            if let Some(allowance) = inputs.estimates.exhausted_allowance(now, state) {
+                limited.add(&allowance, now);
                 continue;
             }
             are_all_limited = false;
--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -144,6 +144,8 @@
     pub slowdown_tenths: u8,
     /// Age of the report on its arrival in milliseconds, as the sender estimates it.
     pub age_ms: u8,
+    /// Time for which the server stays cold, in tenths of a second; zero if it is warm or does not say.
+    pub warm_up_tenths: u8,
 }
 
 /// What a backend server said about the rate of requests that it accepts from all instances.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -33,6 +33,8 @@
     Server(BackendSpec),
     /// The record of an instance.
     Member(MemberRecord),
+    /// The operators' wish that the servers of a data centre get no requests.
+    Evacuation(DataCentre),
     /// A key of another kind, which is ignored.
     Unrecognized,
     /// A value that cannot be decoded, with the reason.
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -33,6 +33,7 @@
 pub(crate) enum NamedRecord {
     Server(ServerKey),
     Member(InstanceName),
+    Evacuation(DataCentre),
 }
 
 /// The servers and members that the replica's values name, by store key.
@@ -61,6 +62,11 @@
         self.named.insert(key, NamedRecord::Server(server));
     }
 
+    /// Inserts the data centre that a key evacuates.
+    pub fn insert_evacuation(&mut self, key: SmolStr, centre: DataCentre) {
+        self.named.insert(key, NamedRecord::Evacuation(centre));
+    }
+
     /// Inserts the member that a key names.
     pub fn insert_member(&mut self, key: SmolStr, name: InstanceName) {
         self.named.insert(key, NamedRecord::Member(name));
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -13,11 +13,11 @@
 use crate::supervise::spawn_task;
 use balance::{BackendState, LoadReport, ServerReach, check_interval};
 use fleet::{LoadRow, PeerDatagram, server_tag};
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
 use link::ConnectionChoice;
 use model::{DataCentre, MonoTime, ServerKey, ServerName, ServiceName};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -182,13 +182,22 @@
         };
         let made_at = MonoTime(now.0.saturating_sub(u64::from(row.age_ms) * 1_000));
         queue.estimates.record_report(made_at, key, report);
+        let left = Duration::from_millis(u64::from(row.warm_up_tenths) * 100);
+        let left = (!left.is_zero()).then_some(left);
+        queue.estimates.record_warm_up(made_at, key, left);
     }
     drop((queue, fleet));
     advance_queue(state);
 }
 
 /// Builds the row on a server that was checked just now; without a report, the check failed.
-fn load_row(key: &ServerKey, report: Option<LoadReport>) -> LoadRow {
+fn load_row(
+    key: &ServerKey,
+    report: Option<LoadReport>,
+    warm_up_left: Option<Duration>,
+) -> LoadRow {
+    let warm_up_tenths = warm_up_left.map_or(0, |left| left.as_millis().div_ceil(100));
+    let warm_up_tenths = u8::try_from(warm_up_tenths).unwrap_or(u8::MAX);
     let saturating_byte = |value: u32| u8::try_from(value).unwrap_or(u8::MAX);
     let server = server_tag(&key.name, key.incarnation);
     match report {
@@ -198,8 +207,16 @@
             waiting: saturating_byte(report.waiting),
             slowdown_tenths: (report.slowdown * 10.0).round().clamp(1.0, 255.0) as u8,
             age_ms: REPORT_AGE_MS,
+            warm_up_tenths,
+        },
+        None => LoadRow {
+            server,
+            running: 0,
+            waiting: 0,
+            slowdown_tenths: 0,
+            age_ms: 0,
+            warm_up_tenths,
         },
-        None => LoadRow { server, running: 0, waiting: 0, slowdown_tenths: 0, age_ms: 0 },
     }
 }
 
@@ -245,6 +262,18 @@
     }
 }
 
+/// Returns the time for which a server says that it stays cold; `None` if it does not say or the value is
+/// malformed.
+fn parse_warm_up(state: &GatewayState, key: &ServerKey, headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(&state.binding.headers().warm_up)?;
+    let left = value.to_str().ok().and_then(|text| state.binding.warm_up_left(text));
+    if left.is_none() {
+        state.metrics.malformed_header("warm_up");
+        state.log_input_fault("warm_up_malformed", &format_smolstr!("{}: {value:?}", key.name));
+    }
+    left
+}
+
 /// Checks one server and records the result. Returns the row to report to the homes, if any.
 async fn check_server(state: &Rc<GatewayState>, target: &CheckTarget) -> Option<LoadRow> {
     let request = Request::get(target.path.as_str())
@@ -263,7 +292,7 @@
     let Ok(response) = result else {
         state.metrics.exchange("probe_failed");
         state.queue().estimates.record_failed_check(now, &target.key);
-        return Some(load_row(&target.key, None));
+        return Some(load_row(&target.key, None, None));
     };
     let server: Option<ServerName> = response
         .headers()
@@ -285,18 +314,20 @@
         }
         Some(server) if server != target.key.name => {
             state.queue().estimates.record_misdirected(&target.key);
-            Some(load_row(&target.key, None))
+            Some(load_row(&target.key, None, None))
         }
         Some(_) if response.status() == StatusCode::OK => {
             record_named_limit(state, &target.key, response.headers());
+            let warm_up_left = parse_warm_up(state, &target.key, response.headers());
+            state.queue().estimates.record_warm_up(now, &target.key, warm_up_left);
             let report = parse_load_report(state, &target.key, response.headers())?;
             state.queue().estimates.record_report(now, &target.key, report);
             advance_queue(state);
-            Some(load_row(&target.key, Some(report)))
+            Some(load_row(&target.key, Some(report), warm_up_left))
         }
         Some(_) => {
             state.queue().estimates.record_failed_check(now, &target.key);
-            Some(load_row(&target.key, None))
+            Some(load_row(&target.key, None, None))
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,10 @@
     pub servers: IntGauge,
     /// Backend servers that limit the rate of their requests.
     pub limited_servers: IntGauge,
+    /// Backend servers that are cold, or may be, and accept a limited rate.
+    pub cold_servers: IntGauge,
+    /// Data centres whose servers get no requests.
+    pub evacuated_centres: IntGauge,
     /// Requests that wait for a slot.
     pub waiting: IntGauge,
     /// Open connections of callers.
@@ -201,6 +205,16 @@
                 "lacewing_limited_servers",
                 "Backend servers that limit the rate of their requests",
             ),
+            cold_servers: gauge(
+                &registry,
+                "lacewing_cold_servers",
+                "Backend servers that are cold, or may be, and accept a limited rate",
+            ),
+            evacuated_centres: gauge(
+                &registry,
+                "lacewing_evacuated_centres",
+                "Data centres whose servers get no requests",
+            ),
             waiting: gauge(&registry, "lacewing_waiting", "Requests that wait for a slot"),
             connections: gauge(&registry, "lacewing_connections", "Connections of callers"),
             log_dropped: gauge(&registry, "lacewing_log_dropped", "Log lines left out"),
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -8,7 +8,8 @@
 use crate::teams::apply_quotas;
 use balance::{BackendState, ReachPlan, ShareClaim};
 use fleet::{MemberRecord, StoreChange, StoreRecord};
-use model::{BackendSpec, InstanceName, ServerKey, StoreRevision};
+use model::{BackendSpec, DataCentre, InstanceName, ServerKey, ServiceName, StoreRevision};
+use routing::ServiceEntry;
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,15 +82,43 @@
             named = Some(NamedRecord::Member(member.name.clone()));
             apply_member(state, change.key.clone(), member);
         }
+        Some(StoreRecord::Evacuation(centre)) => {
+            named = Some(NamedRecord::Evacuation(centre.clone()));
+            state.fleet().records.insert_evacuation(change.key.clone(), centre.clone());
+            evacuate(state, &centre);
+        }
     }
     match earlier {
         Some(earlier) if Some(&earlier) == named.as_ref() => {}
         Some(NamedRecord::Server(key)) => withdraw_server(state, key, named.is_some()),
         Some(NamedRecord::Member(name)) => withdraw_member(state, &name),
+        Some(NamedRecord::Evacuation(centre)) => take_back(state, &centre),
         None => {}
     }
 }
 
+/// Stops sending to the servers of a data centre. Requests in progress there end, those that wait are placed
+/// elsewhere.
+fn evacuate(state: &GatewayState, centre: &DataCentre) {
+    let addresses = state.queue().estimates.evacuate(centre);
+    state.pool.retain(|known| !addresses.contains(known));
+    let detail = format_smolstr!("{centre}, {} servers", addresses.len());
+    state.log.state("evacuated", &detail);
+    record_evacuated_count(state);
+}
+
+fn take_back(state: &GatewayState, centre: &DataCentre) {
+    if state.queue().estimates.take_back(state.now(), centre) {
+        state.log.state("taken_back", centre.as_str());
+    }
+    record_evacuated_count(state);
+}
+
+fn record_evacuated_count(state: &GatewayState) {
+    let evacuated = state.queue().estimates.evacuated().len();
+    state.metrics.evacuated_centres.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
+}
+
 fn apply_server(state: &GatewayState, key: SmolStr, server: BackendSpec) {
     let mut fleet = state.fleet();
     fleet.vanished.remove(&server.key);
@@ -165,6 +194,11 @@
     }
     let detail = format_smolstr!("version {version}, {} routes", table.route_count());
     apply_quotas(state, state.now(), table.teams.as_ref());
+    let cold_rate = |(name, service): (&ServiceName, &ServiceEntry)| {
+        service.warm_up.map(|warm_up| (name.clone(), warm_up.rate))
+    };
+    let cold_rates = table.services.iter().filter_map(cold_rate).collect();
+    state.queue().estimates.set_cold_rates(state.now(), cold_rates);
     state.metrics.version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
     let is_first = state.table.replace(Some(Rc::new(table))).is_none();
     let mut fleet = state.fleet();
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -87,6 +87,8 @@
     let replica = &state.fleet_ref().replica;
     metrics.replica_revision.set(i64::try_from(replica.as_of().0).unwrap_or(i64::MAX));
     metrics.replica_digest.set(i64::from(replica.digest()));
+    let cold = state.queue().estimates.cold_count(state.now());
+    metrics.cold_servers.set(i64::try_from(cold).unwrap_or(i64::MAX));
     metrics.waiting.set(i64::try_from(state.queue().waiting()).unwrap_or(i64::MAX));
     metrics.connections.set(i64::try_from(state.connections.get()).unwrap_or(i64::MAX));
     metrics.log_dropped.set(i64::try_from(state.log.dropped()).unwrap_or(i64::MAX));
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -55,6 +55,8 @@
     pub refuses: bool,
     /// Load report in the responses to health checks.
     pub checked_load: String,
+    /// Further header lines of the responses to health checks, each with its line end.
+    pub checked_lines: String,
     /// Times for which a response to a request with the step `shed-again` was sent once more, late.
     pub repeated: usize,
 }
@@ -104,6 +106,7 @@
             notice: String::new(),
             refuses: false,
             checked_load: "0,0,6".into(),
+            checked_lines: String::new(),
             repeated: 0,
         };
         let server = Self { name: name.into(), address, record: Arc::new(Mutex::new(record)) };
@@ -186,9 +189,9 @@
             let load = {
                 let mut record = self.record.lock().expect("record");
                 record.checks += 1;
-                record.checked_load.clone()
+                format!("{}\r\n{}", record.checked_load, record.checked_lines)
             };
-            let head = format!("HTTP/1.1 200 OK\r\nt-server: {}\r\nt-load: {load}\r\n", self.name);
+            let head = format!("HTTP/1.1 200 OK\r\nt-server: {}\r\nt-load: {load}", self.name);
             if self.record.lock().expect("record").floods_checks {
                 return self.flood(
                     stream,
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -109,7 +109,8 @@
 /// Slots of a server whose record states none.
 const SERVER_SLOTS: u32 = 4;
 
-/// Decodes `servers/NAME` as address and state, which may be followed by the number of slots,
+/// Decodes `servers/NAME` as address and state, which may be followed by the number of slots, the data centre
+/// and the milliseconds for which the server stays cold,
 /// `members/NAME` as JSON, `evacuated/CENTRE` with any value, and `config` as a version that may be followed
 /// by the timeout of the routes in milliseconds, `teams=TEAM/KEY+KEY/RATE/BURST;TEAM/...` (keys, rate and
 /// burst may be left out) and `warm-up=RATE`.
@@ -128,6 +129,9 @@
             return serde_json::from_str(value)
                 .map_or(StoreRecord::Malformed(name.into()), StoreRecord::Member);
         }
+        if let Some(centre) = key.strip_prefix("evacuated/") {
+            return StoreRecord::Evacuation(centre.parse().expect("name"));
+        }
         let Some(name) = key.strip_prefix("servers/") else {
             return StoreRecord::Unrecognized;
         };
@@ -135,6 +139,8 @@
         let address = words.next().unwrap_or_default();
         let state = words.next().unwrap_or_default();
         let slots = words.next().and_then(|word| word.parse().ok()).unwrap_or(SERVER_SLOTS);
+        let centre = words.next().unwrap_or("north");
+        let warm_up_left = words.next().and_then(|word| word.parse().ok()).unwrap_or(Millis(0));
         let (Ok(name), Ok(address)) = (name.parse(), address.parse()) else {
             return StoreRecord::Malformed("server".into());
         };
@@ -142,10 +148,10 @@
             key: ServerKey { name, incarnation: IncarnationId(1) },
             service: "orders".parse().expect("name"),
             address,
-            data_centre: "north".parse().expect("name"),
+            data_centre: centre.parse().expect("name"),
             slots: SlotCount(slots),
             is_leaving: state == "leaving",
-            warm_up_left: Millis(0),
+            warm_up_left,
         })
     }
 }
