--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -11,7 +11,7 @@
 use hyper::body::{Body, Incoming};
 use link::{BodyError, HeldBytes, MeteredBody, ReadMeter, read_body};
 use model::{Millis, StoreRevision};
-use routing::{RouteEntry, RouteTable};
+use routing::{RouteEntry, RouteTable, TeamEntry};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,7 +51,7 @@
             state.metrics.rejected(rejection.status.as_u16());
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
             let version = state.fleet_ref().version;
-            state.log.rejection(id, rejection.status.as_u16(), rejection.text, version);
+            state.log.rejection(id, &rejection, version);
             rejection.response()
         }
     };
@@ -98,11 +98,12 @@
 }
 
 /// The rejection of a request beyond its team's quota.
-fn over_quota(refusal: QuotaRefusal) -> RequestRejection {
+fn over_quota(team: Option<&TeamEntry>, refusal: QuotaRefusal) -> RequestRejection {
     RequestRejection {
         status: StatusCode::TOO_MANY_REQUESTS,
         text: "the team's quota is used up",
         retry: Some(refusal.retry_after.into()),
+        team: team.map(|team| team.name.clone()),
     }
 }
 
@@ -161,7 +162,8 @@
         .map_err(|_| RequestRejection::new(StatusCode::BAD_REQUEST, "path is not valid"))?;
     let mut headers = end_to_end(&parts.headers);
     replace_team_headers(state, &table, team.as_deref(), &mut headers);
-    let token = QuotaToken::take(state, team.as_deref()).map_err(over_quota)?;
+    let token = QuotaToken::take(state, team.as_deref())
+        .map_err(|refusal| over_quota(team.as_deref(), refusal))?;
     let service = state.splits.borrow_mut().next(&route).clone();
     let outbound = OutboundRequest {
         method: parts.method,
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -4,7 +4,8 @@
 //! take precedence over others, and dropped lines are counted. A separate thread writes, so that a
 //! stalled reader never blocks a request; lines are then dropped and counted.
 
-use model::{ConfigVersion, InstanceName};
+use crate::serve::RequestRejection;
+use model::{ConfigVersion, InstanceName, TeamName};
 use serde::Serialize;
 use smol_str::SmolStr;
 use std::cell::RefCell;
@@ -108,6 +109,8 @@
     on: &'a str,
     event: &'a str,
     request: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    team: Option<&'a str>,
     status: u16,
     cause: &'a str,
     config: u64,
@@ -212,7 +215,7 @@
     }
 
     /// Logs a rejected request.
-    pub fn rejection(&self, request: &str, status: u16, cause: &str, version: ConfigVersion) {
+    pub fn rejection(&self, request: &str, rejection: &RequestRejection, version: ConfigVersion) {
         if !self.admit_request(true) {
             return;
         }
@@ -221,8 +224,9 @@
             on: self.name.as_str(),
             event: "rejected",
             request,
-            status,
-            cause,
+            team: rejection.team.as_ref().map(TeamName::as_str),
+            status: rejection.status.as_u16(),
+            cause: rejection.text,
             config: version.0,
         });
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
-use model::{ConfigVersion, Millis, MonoTime, ServerKey, ServiceName};
+use model::{ConfigVersion, Millis, MonoTime, ServerKey, ServiceName, TeamName};
 use routing::{Idempotency, RouteEntry, TeamEntry};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
@@ -101,22 +101,24 @@
 }
 
 /// The response to a request that was rejected before any attempt. The request did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct RequestRejection {
     pub status: StatusCode,
     pub text: &'static str,
     pub retry: Option<Millis>,
+    /// The team of the caller, for the log.
+    pub team: Option<TeamName>,
 }
 
 impl RequestRejection {
     /// Creates a rejection without a `Retry-After` header: the request would be rejected again.
     pub fn new(status: StatusCode, text: &'static str) -> Self {
-        Self { status, text, retry: None }
+        Self { status, text, retry: None, team: None }
     }
 
     /// Creates a rejection with status 503 and a delay after which the caller may retry.
     pub fn unavailable(text: &'static str, retry: Millis) -> Self {
-        Self { status: StatusCode::SERVICE_UNAVAILABLE, text, retry: Some(retry) }
+        Self { retry: Some(retry), ..Self::new(StatusCode::SERVICE_UNAVAILABLE, text) }
     }
 
     /// Creates the rejection of an instance that has no configuration yet.
