Store: a store that comes back from an older copy

Cause: a store that loses its latest writes gives out their revisions again; replicas would have waited for revisions that mean something else, used servers that had left and dropped evacuations. Change: StoreRevision includes the era of the store, which only the store client reads and writes; watches of an earlier era are answered as without history; records of an older copy do not undo leaving, removed servers and evacuations before their owners write again, nor keep them for ever.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -173,6 +173,11 @@
         self.insert(record, true);
     }
 
+    /// Whether the store has a record of another instance.
+    pub fn is_registered(&self, name: &InstanceName) -> bool {
+        self.member(name).is_some_and(|state| state.is_registered)
+    }
+
     /// Records that the store no longer has a record of a member. It stays for `UNREGISTERED_TTL`
     /// after its latest heartbeat.
     pub fn unregister(&mut self, name: &InstanceName) {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -9,7 +9,8 @@
     StoreReplica, homes_digest, server_tag,
 };
 use model::{
-    ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreRevision,
+    ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreEra,
+    StoreRevision,
 };
 use smol_str::SmolStr;
 use std::collections::HashMap;
@@ -19,6 +20,10 @@
 /// Age of a confirmation by the store up to which the store counts as available.
 const STORE_CONFIRMED_AGE_MAX: Duration = Duration::from_millis(1_300);
 
+/// Time for which a removed server is remembered. The copies from which a store comes back are some seconds
+/// old.
+const GONE_TTL: Duration = Duration::from_secs(60);
+
 /// The homes that receive load reports on servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LoadReach {
@@ -56,6 +61,11 @@
         Some(removed)
     }
 
+    /// Whether some key names this.
+    pub fn names(&self, record: &NamedRecord) -> bool {
+        self.named.values().any(|named| named == record)
+    }
+
     /// Inserts the server that a key names.
     pub fn insert_server(&mut self, key: SmolStr, server: ServerKey) {
         self.tags.insert(server_tag(&server.name, server.incarnation), server.clone());
@@ -93,6 +103,12 @@
     pub version: ConfigVersion,
     /// Servers whose records vanished while the store was failing, and since when.
     pub vanished: HashMap<ServerKey, MonoTime>,
+    /// Servers that were removed within [`GONE_TTL`].
+    gone: HashMap<ServerKey, MonoTime>,
+    /// Era of the store in the replica; `None` before the first snapshot.
+    era: Option<StoreEra>,
+    /// When the replica reached the present era, if the store came back older in this run.
+    returned_at: Option<MonoTime>,
     survey: FleetSurvey,
     /// Since when another instance has been ahead of the replica.
     behind_since: Option<MonoTime>,
@@ -120,6 +136,9 @@
             store_failed_at: None,
             version: ConfigVersion(0),
             vanished: HashMap::new(),
+            gone: HashMap::new(),
+            era: None,
+            returned_at: None,
             survey: FleetSurvey::default(),
             behind_since: None,
         }
@@ -283,10 +302,39 @@
         self.confirmed_at().map_or(Duration::MAX, |at| now.since(at))
     }
 
-    /// Whether a record that vanishes now may have expired during an outage of the store that ended at
-    /// most `period` ago, or that lasts.
+    /// Whether a record that vanishes now may belong to a live owner: it expired during an outage of the
+    /// store that ended at most `period` ago, or that lasts, or the store came back older.
     pub fn may_follow_outage(&self, now: MonoTime, period: Duration) -> bool {
-        self.confirmations.may_follow_outage(now, period)
+        let has_returned = self.returned_at.is_some_and(|at| now.since(at) < period);
+        has_returned || self.confirmations.may_follow_outage(now, period)
+    }
+
+    /// Records the era of the replica. Returns whether the store came back from an older copy: the changes
+    /// that led to this era undo what was written since the copy.
+    pub fn record_era(&mut self, now: MonoTime) -> bool {
+        let era = self.replica.as_of().era();
+        let has_returned = self.era.is_some_and(|earlier| earlier < era);
+        self.era = Some(era);
+        if has_returned {
+            self.returned_at = Some(now);
+        }
+        has_returned
+    }
+
+    /// Records that a server was removed.
+    pub fn record_gone(&mut self, now: MonoTime, key: ServerKey) {
+        self.gone.retain(|_, since| now.since(*since) <= GONE_TTL);
+        self.gone.insert(key, now);
+    }
+
+    /// Whether a server was removed a short time ago. A record of it that was written since says otherwise.
+    pub fn is_gone(&self, now: MonoTime, key: &ServerKey) -> bool {
+        self.gone.get(key).is_some_and(|since| now.since(*since) <= GONE_TTL)
+    }
+
+    /// Forgets that a server was removed.
+    pub fn forget_gone(&mut self, key: &ServerKey) {
+        self.gone.remove(key);
     }
 
     /// Records that the store confirmed revision `as_of` `age` ago. Ignored unless the replica is
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     pub confirmed_age_ms: IntGauge,
     /// Revision of the store up to which the replica is complete.
     pub replica_revision: IntGauge,
+    /// Era of the store that the replica is of.
+    pub store_era: IntGauge,
     /// Digest of the replica's items.
     pub replica_digest: IntGauge,
     /// Known members, this instance included.
@@ -193,6 +195,11 @@
                 "lacewing_replica_revision",
                 "Revision of the store up to which the copy is complete",
             ),
+            store_era: gauge(
+                &registry,
+                "lacewing_store_era",
+                "How often the store came back from an older copy, by the replica",
+            ),
             replica_digest: gauge(
                 &registry,
                 "lacewing_replica_digest",
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -19,6 +19,12 @@
 /// the two seconds in which a leaving server may still get requests.
 const VANISHED_TTL: Duration = Duration::from_millis(1_800);
 
+/// Time in which operators write again what the store lost when it came back older.
+const RENEWAL_PERIOD: Duration = Duration::from_secs(3);
+/// Time in which the platform removes again the records of servers that are gone, when the store came back
+/// older: they are silent for three intervals of 1.5 s.
+const REMOVAL_PERIOD: Duration = Duration::from_secs(6);
+
 /// Largest number of changes that are logged one by one. More arrive only with a snapshot at
 /// the start, which should be short; of those only leaving servers are logged.
 const LOGGED_CHANGES_MAX: usize = 40;
@@ -33,8 +39,16 @@
     if !logs_each {
         state.log.state("records", &format_smolstr!("{} changed at once", applied.len()));
     }
+    let origin = match state.fleet().record_era(state.now()) {
+        true => RecordOrigin::OlderCopy,
+        false => RecordOrigin::Written,
+    };
+    if origin == RecordOrigin::OlderCopy {
+        let revision = state.fleet_ref().replica.as_of();
+        state.log.state("store_came_back_older", &format_smolstr!("at revision {revision}"));
+    }
     for change in applied {
-        contain(state, "record", || apply_change(state, change, logs_each));
+        contain(state, "record", || apply_change(state, change, origin, logs_each));
     }
     let servers = state.queue().estimates.servers().len();
     state.metrics.servers.set(i64::try_from(servers).unwrap_or(i64::MAX));
@@ -58,7 +72,22 @@
     }
 }
 
-fn apply_change(state: &Rc<GatewayState>, change: &StoreChange, logs_each: bool) {
+/// Where a change of a record comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RecordOrigin {
+    /// Someone wrote or removed the record.
+    Written,
+    /// The store came back from a copy that has the record, or lacks it. Writes since the copy are lost, and
+    /// their owners write again.
+    OlderCopy,
+}
+
+fn apply_change(
+    state: &Rc<GatewayState>,
+    change: &StoreChange,
+    origin: RecordOrigin,
+    logs_each: bool,
+) {
     let record = change.value.as_ref().map(|value| state.decoder.decode(&change.key, value));
     let earlier = state.fleet().records.remove(&change.key);
     let mut named = None;
@@ -76,11 +105,11 @@
                 log_server(state, &server, change.revision);
             }
             named = Some(NamedRecord::Server(server.key.clone()));
-            apply_server(state, change.key.clone(), server);
+            apply_server(state, change.key.clone(), server, origin);
         }
         Some(StoreRecord::Member(member)) => {
             named = Some(NamedRecord::Member(member.name.clone()));
-            apply_member(state, change.key.clone(), member);
+            apply_member(state, change.key.clone(), member, origin);
         }
         Some(StoreRecord::Evacuation(centre)) => {
             named = Some(NamedRecord::Evacuation(centre.clone()));
@@ -92,6 +121,9 @@
         Some(earlier) if Some(&earlier) == named.as_ref() => {}
         Some(NamedRecord::Server(key)) => withdraw_server(state, key, named.is_some()),
         Some(NamedRecord::Member(name)) => withdraw_member(state, &name),
+        Some(NamedRecord::Evacuation(centre)) if origin == RecordOrigin::OlderCopy => {
+            take_back_unless_renewed(state, centre);
+        }
         Some(NamedRecord::Evacuation(centre)) => take_back(state, &centre),
         None => {}
     }
@@ -114,26 +146,66 @@
     record_evacuated_count(state);
 }
 
+/// Takes a data centre back, whose evacuation the store lost, unless the operators evacuate it again in time.
+fn take_back_unless_renewed(state: &Rc<GatewayState>, centre: DataCentre) {
+    let shared = Rc::clone(state);
+    let check = async move {
+        tokio::time::sleep(RENEWAL_PERIOD).await;
+        let record = NamedRecord::Evacuation(centre.clone());
+        if !shared.fleet_ref().records.names(&record) {
+            take_back(&shared, &centre);
+            advance_queue(&shared);
+        }
+    };
+    spawn_task(state, "lost evacuation", check);
+}
+
 fn record_evacuated_count(state: &GatewayState) {
     let evacuated = state.queue().estimates.evacuated().len();
     state.metrics.evacuated_centres.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
 }
 
-fn apply_server(state: &GatewayState, key: SmolStr, server: BackendSpec) {
+fn apply_server(state: &Rc<GatewayState>, key: SmolStr, server: BackendSpec, origin: RecordOrigin) {
     let mut fleet = state.fleet();
     fleet.vanished.remove(&server.key);
     fleet.records.insert_server(key, server.key.clone());
+    if origin == RecordOrigin::OlderCopy && fleet.is_gone(state.now(), &server.key) {
+        drop(fleet);
+        use_unless_removed(state, server);
+        return;
+    }
+    fleet.forget_gone(&server.key);
     drop(fleet);
     state.queue().estimates.upsert_server(state.now(), server);
 }
 
-fn apply_member(state: &GatewayState, key: SmolStr, member: MemberRecord) {
+/// Uses a server that was removed and that an older copy of the store has, unless its record is removed again
+/// in time.
+fn use_unless_removed(state: &Rc<GatewayState>, server: BackendSpec) {
+    state.log.state("server_doubted", server.key.name.as_str());
+    let shared = Rc::clone(state);
+    let check = async move {
+        tokio::time::sleep(REMOVAL_PERIOD).await;
+        let record = NamedRecord::Server(server.key.clone());
+        let is_unknown = shared.queue().estimates.server(&server.key).is_none();
+        if is_unknown && shared.fleet_ref().records.names(&record) {
+            shared.queue().estimates.upsert_server(shared.now(), server);
+            advance_queue(&shared);
+        }
+    };
+    spawn_task(state, "doubted server", check);
+}
+
+fn apply_member(state: &GatewayState, key: SmolStr, member: MemberRecord, origin: RecordOrigin) {
     let mut fleet = state.fleet();
     fleet.records.insert_member(key, member.name.clone());
     if member.name == fleet.members.this().name {
         fleet.records.this = Some(member.clone());
     }
-    fleet.members.register(member);
+    // An older copy says nothing new of a member, which may have been lost meanwhile.
+    if origin == RecordOrigin::Written || !fleet.members.is_registered(&member.name) {
+        fleet.members.register(member);
+    }
 }
 
 fn withdraw_member(state: &GatewayState, name: &InstanceName) {
@@ -156,6 +228,7 @@
     // While the store works, a record vanishes only when its server is gone.
     let may_have_expired = fleet.may_follow_outage(now, VANISHED_TTL);
     if !is_eligible || !may_have_expired || is_replaced {
+        fleet.record_gone(now, key.clone());
         drop(fleet);
         state.queue().estimates.remove_server(&key);
         return;
@@ -167,7 +240,10 @@
         tokio::time::sleep(VANISHED_TTL).await;
         let since = shared.fleet_ref().vanished.get(&key).copied();
         if since == Some(now) {
-            shared.fleet().vanished.remove(&key);
+            let mut fleet = shared.fleet();
+            fleet.vanished.remove(&key);
+            fleet.record_gone(shared.now(), key.clone());
+            drop(fleet);
             shared.queue().estimates.remove_server(&key);
             advance_queue(&shared);
         }
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -85,7 +85,9 @@
     let age = state.fleet_ref().confirmed_age(state.now()).as_millis();
     metrics.confirmed_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
     let replica = &state.fleet_ref().replica;
-    metrics.replica_revision.set(i64::try_from(replica.as_of().0).unwrap_or(i64::MAX));
+    let revision = replica.as_of();
+    metrics.replica_revision.set(i64::try_from(revision.number()).unwrap_or(i64::MAX));
+    metrics.store_era.set(i64::from(revision.era().0));
     metrics.replica_digest.set(i64::from(replica.digest()));
     let cold = state.queue().estimates.cold_count(state.now());
     metrics.cold_servers.set(i64::try_from(cold).unwrap_or(i64::MAX));
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -133,7 +133,7 @@
             preview_records(state, &items.items);
         }
         match &mut snapshot {
-            Some(snapshot) => snapshot.add_page(items),
+            Some(snapshot) => snapshot.add_page(items)?,
             None => snapshot = Some(items),
         }
         let Some(next_after) = next_after else {
--- a/crates/gateway/tests/support/memory_store.rs
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -1,7 +1,7 @@
 //! The platform's store as a map in memory. Its calls can be made to fail for single instances.
 
 use futures::FutureExt;
-use model::{Millis, StoreRevision};
+use model::{Millis, StoreEra, StoreRevision};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -22,6 +22,10 @@
     revision: u64,
     items: BTreeMap<SmolStr, ItemState>,
     log: Vec<ItemState>,
+    /// All changes that lead to the present items, oldest first.
+    changes: Vec<ItemState>,
+    /// How often the store came back from an older copy.
+    era: u32,
     history_after: u64,
     leases: u64,
     refused: BTreeSet<SmolStr>,
@@ -31,6 +35,17 @@
     panics: bool,
 }
 
+impl MemoryState {
+    fn revision_of(&self, number: u64) -> StoreRevision {
+        StoreRevision::in_era(StoreEra(self.era), number)
+    }
+
+    /// Returns an item with a revision of the present era.
+    fn dated(&self, item: &ItemState) -> ItemState {
+        ItemState { revision: self.revision_of(item.revision.0), ..item.clone() }
+    }
+}
+
 /// The store; clones share its contents.
 #[derive(Clone, Default)]
 pub struct MemoryStore(Arc<Mutex<MemoryState>>);
@@ -47,6 +62,7 @@
         let revision = StoreRevision(state.revision);
         let item = ItemState { key: key.into(), value: value.map(Into::into), revision };
         state.log.push(item.clone());
+        state.changes.push(item.clone());
         match value {
             Some(_) => state.items.insert(key.into(), item),
             None => state.items.remove(key),
@@ -54,6 +70,28 @@
         state.revision
     }
 
+    /// Loses all changes after a revision, as a store does that comes back from an older copy.
+    pub fn come_back_at(&self, revision: u64) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.revision = revision;
+        state.changes.retain(|item| item.revision.0 <= revision);
+        state.log.retain(|item| item.revision.0 <= revision);
+        let mut items = BTreeMap::new();
+        for item in &state.changes {
+            match item.value {
+                Some(_) => items.insert(item.key.clone(), item.clone()),
+                None => items.remove(&item.key),
+            };
+        }
+        state.items = items;
+    }
+
+    /// The revision of the latest change.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Removes all changes up to now from the history that watches read.
     pub fn compact_history(&self) {
         let mut state = self.lock();
@@ -124,13 +162,15 @@
                 if state.refused.contains(&self.instance) {
                     return Err(StoreError::NotApplied("refused during the watch".into()));
                 }
-                if after.0 < state.history_after {
+                let is_lost = after.number() > state.revision || after.era().0 < state.era;
+                if after.number() < state.history_after || is_lost {
                     return Ok(WatchReply::HistoryGone);
                 }
-                if state.revision > after.0 || Instant::now() >= until {
-                    let is_new = |item: &&ItemState| item.revision > after;
-                    let items = state.log.iter().filter(is_new).cloned().collect();
-                    let as_of = StoreRevision(state.revision);
+                if state.revision > after.number() || Instant::now() >= until {
+                    let is_new = |item: &&ItemState| item.revision.0 > after.number();
+                    let items = state.log.iter().filter(is_new).map(|item| state.dated(item));
+                    let items = items.collect();
+                    let as_of = state.revision_of(state.revision);
                     return Ok(WatchReply::Changes(StoreItems::new(as_of, items)));
                 }
             }
@@ -144,11 +184,12 @@
         async move {
             let state = self.lock_unless_refused()?;
             let is_next = |item: &&ItemState| item.key > after;
-            let mut items: Vec<ItemState> = state.items.values().filter(is_next).cloned().collect();
+            let items = state.items.values().filter(is_next).map(|item| state.dated(item));
+            let mut items: Vec<ItemState> = items.collect();
             let next_after = items.get(PAGE_ITEMS_MAX - 1).map(|item| item.key.clone());
             let next_after = next_after.filter(|_| items.len() > PAGE_ITEMS_MAX);
             items.truncate(PAGE_ITEMS_MAX);
-            let as_of = StoreRevision(state.revision.saturating_sub(state.read_lag));
+            let as_of = state.revision_of(state.revision.saturating_sub(state.read_lag));
             let items = StoreItems::new(as_of, items);
             Ok(StorePage { items, next_after })
         }
@@ -183,7 +224,8 @@
     fn remove(&self, key: StoreKey, revision: StoreRevision) -> StoreCall<'_, bool> {
         async move {
             let state = self.lock_unless_refused()?;
-            let is_same = state.items.get(&key.0).is_some_and(|item| item.revision == revision);
+            let is_same =
+                state.items.get(&key.0).is_some_and(|item| item.revision.0 == revision.number());
             drop(state);
             if is_same {
                 self.store.set(&key.0, None);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -24,7 +24,7 @@
 };
 pub use quantity::{
     ByteCount, CallDepth, ConfigVersion, ConnectionCount, HomeCount, IncarnationId, Millis,
-    ProbeRate, RequestRate, SlotCount, StoreRevision,
+    ProbeRate, RequestRate, SlotCount, StoreEra, StoreRevision,
 };
 pub use time::{COMPUTED_DURATION_MAX, MonoTime, ProcessClock, bounded_duration};
 pub use verdict::RunVerdict;
--- a/crates/model/src/quantity.rs
+++ b/crates/model/src/quantity.rs
@@ -36,8 +36,8 @@
     ConfigVersion, u64
 );
 whole_quantity!(
-    /// Revision of a value in the platform's store.
-    StoreRevision, u64
+    /// Counts how often the platform's store came back from an older copy of itself.
+    StoreEra, u32
 );
 whole_quantity!(
     /// Number of requests that a backend server processes at once.
@@ -77,6 +77,53 @@
     }
 }
 
+/// Bits of a [`StoreRevision`] below those of its era.
+const REVISION_BITS: u32 = 44;
+
+/// Revision of a value in the platform's store. After the store came back from an older copy it gives out
+/// revisions again, so a revision includes the era of the store: later eras compare as greater.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreRevision(pub u64);
+
+impl StoreRevision {
+    /// Returns the revision that the store calls `number` in an era.
+    pub fn in_era(era: StoreEra, number: u64) -> Self {
+        let number = number.min((1 << REVISION_BITS) - 1);
+        Self((u64::from(era.0) << REVISION_BITS) | number)
+    }
+
+    /// Returns the era of the store.
+    pub fn era(self) -> StoreEra {
+        StoreEra(u32::try_from(self.0 >> REVISION_BITS).unwrap_or(u32::MAX))
+    }
+
+    /// Returns the number that the store gave the revision.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << REVISION_BITS) - 1)
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era() {
+            StoreEra(0) => self.number().fmt(f),
+            era => write!(f, "{era}.{}", self.number()),
+        }
+    }
+}
+
+impl FromStr for StoreRevision {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (era, number) = text.split_once('.').unwrap_or(("0", text));
+        Ok(Self::in_era(era.parse()?, number.parse()?))
+    }
+}
+
 /// Identifies one run of a process. Every start gets a different id; later starts of the same
 /// instance get greater ones.
 #[derive(
--- a/crates/store/src/replicated.rs
+++ b/crates/store/src/replicated.rs
@@ -96,10 +96,17 @@
 
     /// Adds the items of the next page. The revision becomes the lower of both: pages that may be old
     /// can differ in age, and changes after the oldest may be missing.
-    pub fn add_page(&mut self, page: Self) {
+    ///
+    /// # Errors
+    /// The store came back from an older copy between the pages.
+    pub fn add_page(&mut self, page: Self) -> Result<(), StoreError> {
+        if page.as_of.era() != self.as_of.era() {
+            return Err(StoreError::NotApplied("the store came back older during a read".into()));
+        }
         self.as_of = self.as_of.min(page.as_of);
         self.newest = self.newest.max(page.newest);
         self.items.extend(page.items);
+        Ok(())
     }
 }
 
@@ -116,7 +123,7 @@
         store.read_page(SmolStr::default(), freshness).await?;
     while let Some(after) = next_after {
         let page = store.read_page(after, freshness).await?;
-        items.add_page(page.items);
+        items.add_page(page.items)?;
         next_after = page.next_after;
     }
     Ok(items)
