Known red: late refusals of hedged requests; old first reads are confirmed by a home

Change: exchanges that were sent within the last 40 ms go on in the background. The new test failed before (2 requests where 1 is allowed).

--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -212,6 +212,7 @@
     let mut fleet = state.fleet();
     if *name == fleet.members.this().name {
         fleet.records.this = None;
+        state.unregistered.notify_one();
     }
     fleet.members.unregister(name);
     drop(fleet);
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -49,7 +49,8 @@
         let is_old = state.now().since(announced_at) > ANNOUNCE_INTERVAL;
         let must_announce = if is_registered { is_old } else { is_current(&state) };
         if !must_announce {
-            tokio::time::sleep(REGISTERED_CHECK_INTERVAL).await;
+            let removed = state.unregistered.notified();
+            let _ = tokio::time::timeout(REGISTERED_CHECK_INTERVAL, removed).await;
             continue;
         }
         announced_at = state.now();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{ExchangeEnd, OutboundRequest, end_to_end, run_exchange};
 use crate::slots::{SlotGuard, acquire_slot};
 use crate::state::GatewayState;
+use crate::supervise::spawn_task;
 use balance::{QueueRefusal, RequestSpec, RetryWindow};
 use bytes::Bytes;
 use futures::FutureExt;
@@ -25,6 +26,8 @@
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(25);
 /// Interval between checks whether a slow exchange can be hedged.
 const HEDGE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time in which a server refuses a request that it does not run: a round trip and little work.
+const REFUSAL_WAIT: Duration = Duration::from_millis(40);
 /// Maximum number of exchanges of a request that reach no server. They don't count as attempts.
 const UNREACHABLE_MAX: u32 = 4;
 /// `Retry-After` of an instance that has no configuration.
@@ -65,6 +68,8 @@
     /// Why the last attempt failed; sent to the caller and logged.
     cause: SmolStr,
     hedges: u32,
+    /// When the latest exchange was started.
+    sent_at: MonoTime,
     /// Total time spent waiting for slots.
     waited: Duration,
     last: Option<AttemptLine>,
@@ -214,8 +219,10 @@
 fn start_exchange(
     state: &Rc<GatewayState>,
     routed: &Rc<RoutedRequest>,
+    history: &mut AttemptHistory,
     guard: SlotGuard,
 ) -> LocalBoxFuture<'static, FinishedExchange> {
+    history.sent_at = state.now();
     let (state, routed) = (Rc::clone(state), Rc::clone(routed));
     async move {
         let placement = guard.placement().clone();
@@ -249,7 +256,7 @@
     let mut can_hedge = routed.route.idempotency == Idempotency::Idempotent;
     history.tried.push(guard.placement().key.clone());
     history.attempts += 1;
-    pending.push(start_exchange(state, routed, guard));
+    pending.push(start_exchange(state, routed, history, guard));
     let ending = state.wait_ending();
     tokio::pin!(ending);
     loop {
@@ -259,6 +266,7 @@
             finished = pending.next() => {
                 let finished = finished?;
                 if let Some(response) = record_exchange(state, routed, history, finished) {
+                    await_refusals(state, history.sent_at, pending);
                     return Some(response);
                 }
                 if pending.is_empty() {
@@ -272,7 +280,7 @@
                         history.tried.push(guard.placement().key.clone());
                         history.attempts += 1;
                         history.hedges += 1;
-                        pending.push(start_exchange(state, routed, guard));
+                        pending.push(start_exchange(state, routed, history, guard));
                     }
                     HedgeDecision::Later => {}
                     HedgeDecision::Never => can_hedge = false,
@@ -288,6 +296,20 @@
     }
 }
 
+/// Waits a moment, in the background, for exchanges that another response made needless and that were sent just
+/// now. A server that refuses one of them may ask for no requests, and never tells it again.
+fn await_refusals(state: &Rc<GatewayState>, sent_at: MonoTime, pending: PendingExchanges) {
+    let left = REFUSAL_WAIT.saturating_sub(state.now().since(sent_at));
+    if pending.is_empty() || left.is_zero() {
+        return;
+    }
+    let refusals = async move {
+        // Dropped exchanges close their connections, which ends the work at the servers.
+        let _ = tokio::time::timeout(left, pending.for_each(async |_| {})).await;
+    };
+    spawn_task(state, "superseded exchange", refusals);
+}
+
 enum HedgeDecision {
     Send(SlotGuard),
     Later,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -100,6 +100,8 @@
     pub pull_backoff: RefCell<PullBackoff>,
     /// Limits the snapshots that other instances pull from this one.
     pub snapshots: RefCell<SnapshotQuota>,
+    /// Wakes the task that keeps this instance registered when its record is gone.
+    pub unregistered: Notify,
     /// Wakes the task that writes the records of `registrar`.
     pub registrar_wakeup: Notify,
     /// Registrations in progress, notified whether the store accepted the record.
@@ -180,6 +182,7 @@
             pauses: RefCell::default(),
             pull_backoff: RefCell::default(),
             snapshots: RefCell::new(SnapshotQuota::new(settings.link_mbps)),
+            unregistered: Notify::new(),
             registrar_wakeup: Notify::new(),
             registration_waiters: RefCell::default(),
             has_written_records: Cell::new(false),
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -13,7 +13,7 @@
 };
 use model::{Millis, StoreRevision};
 use rand::RngExt;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use smol_str::{SmolStr, format_smolstr};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -37,6 +37,8 @@
 const REGISTERED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval between checks whether this instance is registered.
 const REGISTERED_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Time in which heartbeats or changes confirm the first snapshot of an instance that others know.
+const FIRST_CONFIRMATION_WAIT: Duration = Duration::from_millis(400);
 /// Number of instances that one catch-up asks for changes, one after the other.
 const PULLS_MAX: usize = 2;
 /// Largest fleet whose members all read the store at once when they start.
@@ -61,6 +63,7 @@
             }
             let _ = tokio::time::timeout(DUTY_CHECK_INTERVAL, state.sync_wakeup.notified()).await;
             catch_up(&state).await;
+            confirm_first_snapshot(&state).await;
             continue;
         }
         state.fleet().is_watching = true;
@@ -174,6 +177,36 @@
     }
 }
 
+/// Pulls from a home if nothing has confirmed the first snapshot for [`FIRST_CONFIRMATION_WAIT`]. A snapshot
+/// that is old may have a record of this instance that was removed since; then nobody sends it changes, and it
+/// would wait until the time comes at which it watches itself.
+async fn confirm_first_snapshot(state: &Rc<GatewayState>) {
+    let now = state.now();
+    let is_due = {
+        let fleet = state.fleet_ref();
+        let age = fleet.snapshot_at.map(|at| now.since(at));
+        fleet.confirmed_at().is_none() && age.is_some_and(|age| age >= FIRST_CONFIRMATION_WAIT)
+    };
+    if !is_due || !state.pull_backoff.borrow().is_due(now) {
+        return;
+    }
+    let own = state.settings().peer_address;
+    let mut homes: Vec<SocketAddr> =
+        state.fleet_ref().homes().iter().map(|home| home.peer_address).collect();
+    homes.retain(|home| *home != own);
+    let Some(home) = homes.choose(&mut rand::rng()).copied() else {
+        return;
+    };
+    match pull_from(state, home).await {
+        Ok(()) => state.pull_backoff.borrow_mut().record_success(),
+        Err(cause) => {
+            state.log.state("pull_failed", &format_smolstr!("{home}: {cause:#}"));
+            let jitter = rand::rng().random_range(0.5..1.5);
+            state.pull_backoff.borrow_mut().record_failure(state.now(), jitter);
+        }
+    }
+}
+
 fn current_duty(state: &Rc<GatewayState>) -> WatchDuty {
     refresh_fleet(state);
     let now = state.now();
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -329,3 +329,38 @@
     one.close();
     two.close();
 }
+
+/// Guards against an instance that starts from an old read, which has the record that its planned stop removed:
+/// the others send it nothing, and it has to notice that. It is too low in rank to send heartbeats itself.
+#[test]
+fn an_instance_that_reads_its_removed_record_gets_later_changes() {
+    const LOW_RANK: &str = "cores = 0.01\n";
+    let store = MemoryStore::default();
+    let server = ScriptedBackend::start("first");
+    store.set("config", Some("1"));
+    write_server_record(&store, &server, "ready");
+    let names: Vec<String> = (0..8).map(|index| format!("i{index}")).collect();
+    let others: Vec<TestInstance> = names.iter().map(|name| start_instance(name, &store)).collect();
+    let addresses = free_addresses();
+    let low = start_at("low", &store, addresses.clone(), LOW_RANK);
+    let is_registered = |name: &str| store.has(&format!("members/{name}"));
+    wait_until("all are registered", || {
+        is_registered("low") && names.iter().all(|name| is_registered(name))
+    });
+    let with_record = store.revision();
+    low.close();
+    wait_until("the record is removed", || !is_registered("low"));
+    store.set_stale_reads(with_record);
+    store.refuse_watches("low");
+    let low = start_at("low", &store, addresses, LOW_RANK);
+    wait_until("ready again", || is_ready(&low));
+    wait_until("registered again", || is_registered("low"));
+    store.set("config", Some("2"));
+    wait_until("the later configuration is in force", || {
+        call(low.callers, "POST", "/v2/ok/", "id").status == 200
+    });
+    for instance in others {
+        instance.crash();
+    }
+    low.crash();
+}
--- a/crates/gateway/tests/notices.rs
+++ b/crates/gateway/tests/notices.rs
@@ -156,3 +156,35 @@
     after_a_second: ("1");
     after_three_seconds: ("3");
 } }
+
+/// Guards against a refusal that nobody reads, since the response to the other copy of the request came first:
+/// the server gets no second request, whatever the order of both.
+#[test]
+fn a_hedged_request_that_is_refused_late_counts() {
+    let mut hedged = 0;
+    for took_ms in [238, 246, 254, 262, 270] {
+        let (store, _first, instance) = start_with_server();
+        assert_eq!(call_work(&instance, "ok", "warm").status, 200);
+        let second = ScriptedBackend::start("second");
+        second.set_notice("retry-after: 30\r\n", true);
+        // A slow server gets hedged requests only.
+        second.set_checked_load("0,0,4,4.0", Duration::from_millis(25));
+        write_server_record(&store, &second, "ready");
+        wait_until("its speed is known", || second.arrivals() > 1);
+        let path = format!("/look/take-{took_ms}/");
+        assert_eq!(call(instance.callers, "GET", &path, "id-0").status, 200);
+        std::thread::sleep(Duration::from_millis(60));
+        let refused = second.record.lock().expect("record").arrived.len();
+        hedged += refused;
+        if refused > 0 {
+            second.set_checked_load("0,0,4,0.2", Duration::ZERO);
+            std::thread::sleep(Duration::from_millis(300));
+            for index in 0..REQUESTS {
+                call_work(&instance, "ok", &format!("id-{index}"));
+            }
+            assert_eq!(second.record.lock().expect("record").arrived.len(), refused);
+        }
+        instance.crash();
+    }
+    assert!(hedged > 0, "no request was hedged");
+}
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -53,6 +53,8 @@
     pub notice: String,
     /// Whether it answers requests with 503 and the notice, without running them.
     pub refuses: bool,
+    /// Time after which it refuses a request.
+    pub refusal_delay: Duration,
     /// Load report in the responses to health checks.
     pub checked_load: String,
     /// Further header lines of the responses to health checks, each with its line end.
@@ -105,6 +107,7 @@
             limit: None,
             notice: String::new(),
             refuses: false,
+            refusal_delay: Duration::ZERO,
             checked_load: "0,0,6".into(),
             checked_lines: String::new(),
             repeated: 0,
@@ -137,6 +140,12 @@
         (record.notice, record.refuses) = (notice.into(), refuses);
     }
 
+    /// Changes the load report of later health checks, and the time after which it refuses a request.
+    pub fn set_checked_load(&self, load: &str, refusal_delay: Duration) {
+        let mut record = self.record.lock().expect("record");
+        (record.checked_load, record.refusal_delay) = (load.into(), refusal_delay);
+    }
+
     /// Makes it refuse health checks with 503 and these header lines.
     pub fn refuse_checks(&self, lines: &str) {
         self.record.lock().expect("record").check_refusal = Some(lines.into());
@@ -225,6 +234,10 @@
             std::thread::sleep(Duration::from_millis(millis.parse().unwrap_or(0)));
         }
         let refuses = self.record.lock().expect("record").refuses;
+        if refuses {
+            let delay = self.record.lock().expect("record").refusal_delay;
+            std::thread::sleep(delay);
+        }
         let is_shed = refuses || behaviour == Behaviour::Shed || step.starts_with("shed");
         if is_shed || behaviour == Behaviour::Misdirected || request.header("t-expect") != self.name
         {
--- a/crates/gateway/tests/support/memory_store.rs
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -32,6 +32,10 @@
     writers: BTreeSet<SmolStr>,
     writes: u64,
     read_lag: u64,
+    /// Revision of the items that reads return which may be old.
+    stale_at: Option<u64>,
+    /// Instances whose watches are refused.
+    unwatched: BTreeSet<SmolStr>,
     panics: bool,
 }
 
@@ -40,6 +44,18 @@
         StoreRevision::in_era(StoreEra(self.era), number)
     }
 
+    /// Returns the items as they were at a revision.
+    fn items_at(&self, revision: u64) -> BTreeMap<SmolStr, ItemState> {
+        let mut items = BTreeMap::new();
+        for item in self.changes.iter().filter(|item| item.revision.0 <= revision) {
+            match item.value {
+                Some(_) => items.insert(item.key.clone(), item.clone()),
+                None => items.remove(&item.key),
+            };
+        }
+        items
+    }
+
     /// Returns an item with a revision of the present era.
     fn dated(&self, item: &ItemState) -> ItemState {
         ItemState { revision: self.revision_of(item.revision.0), ..item.clone() }
@@ -77,14 +93,17 @@
         state.revision = revision;
         state.changes.retain(|item| item.revision.0 <= revision);
         state.log.retain(|item| item.revision.0 <= revision);
-        let mut items = BTreeMap::new();
-        for item in &state.changes {
-            match item.value {
-                Some(_) => items.insert(item.key.clone(), item.clone()),
-                None => items.remove(&item.key),
-            };
-        }
-        state.items = items;
+        state.items = state.items_at(revision);
+    }
+
+    /// Makes reads that may be old return the items of a revision.
+    pub fn set_stale_reads(&self, revision: u64) {
+        self.lock().stale_at = Some(revision);
+    }
+
+    /// Makes the watches of an instance fail.
+    pub fn refuse_watches(&self, instance: &str) {
+        self.lock().unwatched.insert(instance.into());
     }
 
     /// The revision of the latest change.
@@ -154,7 +173,12 @@
 
     async fn follow(&self, after: StoreRevision, wait: Millis) -> Result<WatchReply, StoreError> {
         let until = Instant::now() + wait.duration();
-        let panics = self.lock_unless_refused()?.panics;
+        let state = self.lock_unless_refused()?;
+        if state.unwatched.contains(&self.instance) {
+            return Err(StoreError::NotApplied("watches are refused".into()));
+        }
+        let panics = state.panics;
+        drop(state);
         assert!(!panics, "the watch panics on purpose");
         loop {
             {
@@ -180,16 +204,19 @@
 }
 
 impl ReplicaStore for InstanceStore {
-    fn read_page(&self, after: SmolStr, _freshness: ReadFreshness) -> StoreCall<'_, StorePage> {
+    fn read_page(&self, after: SmolStr, freshness: ReadFreshness) -> StoreCall<'_, StorePage> {
         async move {
             let state = self.lock_unless_refused()?;
             let is_next = |item: &&ItemState| item.key > after;
-            let items = state.items.values().filter(is_next).map(|item| state.dated(item));
+            let stale_at = state.stale_at.filter(|_| freshness == ReadFreshness::MayBeOld);
+            let revision = stale_at.unwrap_or(state.revision);
+            let present = state.items_at(revision);
+            let items = present.values().filter(is_next).map(|item| state.dated(item));
             let mut items: Vec<ItemState> = items.collect();
             let next_after = items.get(PAGE_ITEMS_MAX - 1).map(|item| item.key.clone());
             let next_after = next_after.filter(|_| items.len() > PAGE_ITEMS_MAX);
             items.truncate(PAGE_ITEMS_MAX);
-            let as_of = state.revision_of(state.revision.saturating_sub(state.read_lag));
+            let as_of = state.revision_of(revision.saturating_sub(state.read_lag));
             let items = StoreItems::new(as_of, items);
             Ok(StorePage { items, next_after })
         }
