Queue: fair shares of teams where room is scarce

Cause: the queue served waiting requests by priority and arrival; one team at eight times its usual took the others' room. Change: balance::fair_share orders waiting requests of one priority by the service that their team had for its weight (the quota's rate). Only requests of teams are concerned.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,6 +10,7 @@
 mod contention;
 mod demand;
 mod estimates;
+mod fair_share;
 mod placement;
 mod processing;
 mod queue;
@@ -23,6 +24,7 @@
 pub use contention::ContentionCurve;
 pub use demand::DemandTable;
 pub use estimates::{BackendState, ExchangeOutcome, LimitStatement, LoadEstimates, LoadReport};
+pub use fair_share::TeamShare;
 pub use placement::{
     ExpectedFinish, PlacementDecision, PlacementInputs, PlacementPolicy, RandomPlacement,
 };
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -1,12 +1,13 @@
 //! Queue of the requests that wait for a slot, for all services of this instance.
 //!
 //! A request is sent only into a slot that is free by the load estimates. Requests that can still
-//! meet their objective go before those that can't, then by priority, then by arrival. Without this
-//! order an overloaded queue serves every request late. A request that would probably miss its
+//! meet their objective go before those that can't, then by priority, then by fair shares of the callers'
+//! teams, then by arrival. Without this order an overloaded queue serves every request late. A request that would probably miss its
 //! deadline is refused at once.
 
 use crate::budget::{BudgetPolicy, ExtraAccount, RetryWindow, ShareClaim};
 use crate::estimates::{ExchangeOutcome, LoadEstimates};
+use crate::fair_share::{FairOrder, ServedRates, TeamShare};
 use crate::placement::{PlacementDecision, PlacementInputs, PlacementPolicy};
 use crate::processing::ProcessingTimes;
 use model::{DataCentre, Millis, MonoTime, ServerKey, ServiceName, SlotCount};
@@ -47,7 +48,10 @@
     pub service: ServiceName,
     /// Name of the route that the request matched.
     pub route: SmolStr,
-    /// Priority of the route; 0 is served first.
+    /// Team of the caller, among whose requests and those of other teams a scarce service is shared fairly;
+    /// `None` if the route needs no key.
+    pub share: Option<TeamShare>,
+    /// Priority of the route or team; 0 is served first.
     pub priority: u8,
     /// Time at which the request arrived at this instance.
     pub arrived: MonoTime,
@@ -166,6 +170,7 @@
     pub processing: ProcessingTimes,
     waiting: HashMap<ServiceName, BTreeMap<OrderKey, WaitingRequest>>,
     waiting_count: usize,
+    served: ServedRates,
     budgets: HashMap<ServiceName, RetryWindow>,
     extra: ExtraAccount,
     next_id: u64,
@@ -188,6 +193,7 @@
             processing: ProcessingTimes::default(),
             waiting: HashMap::new(),
             waiting_count: 0,
+            served: ServedRates::default(),
             budgets: HashMap::new(),
             extra,
             next_id: 0,
@@ -229,9 +235,10 @@
             return (id, Some(refuse(RefusalCause::Stopping, RETRY_AFTER_MIN)));
         }
         self.estimates.demands.record_request(now, &spec.service);
-        let ahead = self.count_ahead(&spec);
+        let ahead = self.count_ahead(now, &spec);
         let decision = match self.place(now, &spec, ahead) {
             PlacementDecision::Send(key, expected) => {
+                self.record_served(now, &spec);
                 Some(QueueDecision::Send(self.start(now, id, key, expected)))
             }
             PlacementDecision::NoServer => {
@@ -275,7 +282,7 @@
         spec: &RequestSpec,
         within: Duration,
     ) -> Option<(QueueId, Placement)> {
-        if self.count_ahead(spec) > 0 {
+        if self.count_ahead(now, spec) > 0 {
             return None;
         }
         let PlacementDecision::Send(key, expected) = self.place(now, spec, 0) else {
@@ -294,10 +301,46 @@
         self.processing.processing_time(&spec.route, spec.objective.since(spec.arrived))
     }
 
-    fn count_ahead(&self, spec: &RequestSpec) -> usize {
-        self.waiting
-            .get(&spec.service)
-            .map_or(0, |queue| queue.range(..(spec.priority, spec.arrived, u64::MAX)).count())
+    fn count_ahead(&self, now: MonoTime, spec: &RequestSpec) -> usize {
+        let Some(queue) = self.waiting.get(&spec.service) else {
+            return 0;
+        };
+        if spec.share.is_none() {
+            return queue.range(..(spec.priority, spec.arrived, u64::MAX)).count();
+        }
+        let mut order = FairOrder::new(now, &spec.service, &self.served);
+        let places: Vec<(u8, f64)> = queue
+            .values()
+            .map(|request| order.place(request.spec.priority, request.spec.share.as_ref()))
+            .collect();
+        let own = order.place(spec.priority, spec.share.as_ref());
+        places.into_iter().filter(|place| *place <= own).count()
+    }
+
+    /// Sorts waiting requests of a service, given in the order of priority and arrival, by fair shares.
+    fn sort_fairly(&self, now: MonoTime, service: &ServiceName, orders: &mut Vec<OrderKey>) {
+        let Some(queue) = self.waiting.get(service) else {
+            return;
+        };
+        if orders.iter().all(|order| queue[order].spec.share.is_none()) {
+            return;
+        }
+        let mut fair = FairOrder::new(now, service, &self.served);
+        let mut placed: Vec<((u8, f64), OrderKey)> = orders
+            .drain(..)
+            .map(|order| (fair.place(order.0, queue[&order].spec.share.as_ref()), order))
+            .collect();
+        // Stable, so that equal places keep the order of arrival. Places are numbers.
+        placed.sort_by(|(left, _), (right, _)| {
+            left.0.cmp(&right.0).then_with(|| left.1.total_cmp(&right.1))
+        });
+        orders.extend(placed.into_iter().map(|(_, order)| order));
+    }
+
+    fn record_served(&mut self, now: MonoTime, spec: &RequestSpec) {
+        if let Some(share) = &spec.share {
+            self.served.record(now, &spec.service, share);
+        }
     }
 
     /// Whether a request would probably miss its objective even if it were sent now.
@@ -392,8 +435,10 @@
         let Some(queue) = self.waiting.get(service) else {
             return;
         };
-        let (late, on_time): (Vec<OrderKey>, Vec<OrderKey>) =
+        let (mut late, mut on_time): (Vec<OrderKey>, Vec<OrderKey>) =
             queue.keys().copied().partition(|order| self.is_late(now, &queue[order].spec));
+        self.sort_fairly(now, service, &mut on_time);
+        self.sort_fairly(now, service, &mut late);
         let mut is_blocked = false;
         let mut ahead = 0;
         for order in on_time.into_iter().chain(late) {
@@ -412,6 +457,7 @@
                 let spec = request.spec.clone();
                 match self.place(now, &spec, ahead) {
                     PlacementDecision::Send(key, expected) => {
+                        self.record_served(now, &spec);
                         Some(QueueDecision::Send(self.start(now, id, key, expected)))
                     }
                     PlacementDecision::NoServer => {
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -45,6 +45,7 @@
     RequestSpec {
         service: service(),
         route: "r".into(),
+        share: None,
         priority,
         arrived,
         objective: arrived.plus(Duration::from_millis(600)),
--- a/crates/balance/tests/support/simulation.rs
+++ b/crates/balance/tests/support/simulation.rs
@@ -186,6 +186,7 @@
         let spec = RequestSpec {
             service: service(),
             route: "r".into(),
+            share: None,
             priority: 1,
             arrived: at(arrived),
             objective: at(arrived + self.load.objective_ms),
--- a/crates/balance/tests/uneven_centres.rs
+++ b/crates/balance/tests/uneven_centres.rs
@@ -133,6 +133,7 @@
         let spec = RequestSpec {
             service: service(),
             route: "r".into(),
+            share: None,
             priority: 1,
             arrived: at(now),
             objective: at(now + OBJECTIVE_MS),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::slots::{SlotGuard, acquire_slot};
 use crate::state::GatewayState;
 use crate::supervise::spawn_task;
-use balance::{QueueRefusal, RequestSpec, RetryWindow};
+use balance::{QueueRefusal, RequestSpec, RetryWindow, TeamShare};
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
@@ -13,7 +13,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use model::{ConfigVersion, Millis, MonoTime, ServerKey, ServiceName, TeamName};
-use routing::{Idempotency, RouteEntry, TeamEntry};
+use routing::{Idempotency, RouteEntry};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,7 +42,7 @@
     pub route: Rc<RouteEntry>,
     pub service: ServiceName,
     /// The team of the caller; `None` if the route needs no key.
-    pub team: Option<Rc<TeamEntry>>,
+    pub share: Option<TeamShare>,
     /// Priority of the team, or of the route if the team has none.
     pub priority: u8,
     pub arrived: MonoTime,
@@ -171,7 +171,7 @@
         request: routed.outbound.request_id.to_str().unwrap_or("-"),
         route: &routed.route.name,
         service: routed.service.as_str(),
-        team: routed.team.as_ref().map(|team| team.name.as_str()),
+        team: routed.share.as_ref().map(|share| share.team.as_str()),
         status,
         cause: &history.cause,
         attempts: history.attempts,
@@ -208,6 +208,7 @@
     RequestSpec {
         service: routed.service.clone(),
         route: routed.route.name.clone(),
+        share: routed.share.clone(),
         priority: routed.priority,
         arrived: routed.arrived,
         objective: routed.arrived.plus(routed.route.objective.duration()),
--- a/crates/routing/src/team.rs
+++ b/crates/routing/src/team.rs
@@ -80,6 +80,8 @@
 pub struct TeamTable {
     teams: HashMap<TeamName, Rc<TeamEntry>>,
     keys: HashMap<ApiKey, Rc<TeamEntry>>,
+    /// Highest rate of all quotas.
+    highest_rate: f64,
 }
 
 impl TeamTable {
@@ -93,6 +95,7 @@
         keys: impl IntoIterator<Item = ApiKey>,
     ) -> Result<(), TeamConflict> {
         let team = Rc::new(team);
+        self.highest_rate = team.quota.map_or(0.0, |quota| quota.rate.0).max(self.highest_rate);
         if self.teams.insert(team.name.clone(), Rc::clone(&team)).is_some() {
             return Err(TeamConflict::Name(team.name.clone()));
         }
@@ -111,6 +114,13 @@
         self.keys.get(key)
     }
 
+    /// Returns the weight of a team where teams share what is scarce: the rate of its quota. A team without a
+    /// quota weighs as much as the one with the highest.
+    pub fn weight(&self, team: &TeamEntry) -> f64 {
+        let rate = team.quota.map_or(self.highest_rate, |quota| quota.rate.0);
+        if rate > 0.0 { rate } else { 1.0 }
+    }
+
     /// Returns all teams, in no particular order.
     pub fn teams(&self) -> impl ExactSizeIterator<Item = &Rc<TeamEntry>> {
         self.teams.values()
