Link: a status outside 200 to 599 is no response

Cause: the HTTP library accepts any three digits; a server's 101, 600 or 999 reached callers as an answer. Change: LinkPool::exchange fails with InvalidStatus and closes the connection, for servers, health checks, the store and other instances. Tests failed before: link invalid_status (101, 600, 999); 000 and malformed lines were refused already.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -245,6 +245,7 @@
         }
         (SendState::NotSent, LinkError::ConnectionLimit) => ("limit", ExchangeOutcome::Shed),
         (SendState::NotSent, _) => ("unreachable", ExchangeOutcome::Unreachable),
+        (_, LinkError::InvalidStatus(_)) => ("invalid_status", ExchangeOutcome::Broken),
         (_, LinkError::ResponseOverhead) => ("overhead", ExchangeOutcome::Broken),
         (_, LinkError::ResponseMemory) => ("memory", ExchangeOutcome::Abandoned),
         (_, LinkError::ResponseTimeout) => ("timed_out", ExchangeOutcome::TimedOut),
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -57,6 +57,8 @@
     pub refusal_delay: Duration,
     /// Load report in the responses to health checks.
     pub checked_load: String,
+    /// Status with which it answers health checks.
+    pub checked_status: String,
     /// Further header lines of the responses to health checks, each with its line end.
     pub checked_lines: String,
     /// Times for which a response to a request with the step `shed-again` was sent once more, late.
@@ -109,6 +111,7 @@
             refuses: false,
             refusal_delay: Duration::ZERO,
             checked_load: "0,0,6".into(),
+            checked_status: "200 OK".into(),
             checked_lines: String::new(),
             repeated: 0,
         };
@@ -195,12 +198,13 @@
     /// Responds to a request. Returns whether the connection stays open.
     fn respond(&self, stream: &mut TcpStream, request: &InboundRequest) -> std::io::Result<bool> {
         if request.line.starts_with("GET /health ") {
-            let load = {
+            let (status, load) = {
                 let mut record = self.record.lock().expect("record");
                 record.checks += 1;
-                format!("{}\r\n{}", record.checked_load, record.checked_lines)
+                let load = format!("{}\r\n{}", record.checked_load, record.checked_lines);
+                (record.checked_status.clone(), load)
             };
-            let head = format!("HTTP/1.1 200 OK\r\nt-server: {}\r\nt-load: {load}", self.name);
+            let head = format!("HTTP/1.1 {status}\r\nt-server: {}\r\nt-load: {load}", self.name);
             if self.record.lock().expect("record").floods_checks {
                 return self.flood(
                     stream,
@@ -269,6 +273,11 @@
         if let Some(millis) = step.strip_prefix("take-") {
             std::thread::sleep(Duration::from_millis(millis.parse().unwrap_or(0)));
         }
+        if let Some(line) = step.strip_prefix("status-") {
+            let head = signed.replacen("200 OK", &line.replace('_', " "), 1);
+            write!(stream, "{head}content-length: {length}\r\n\r\n{body}")?;
+            return Ok(true);
+        }
         if let Some(kilobytes) = step.strip_prefix("stalled-") {
             let part = "x".repeat(kilobytes.parse::<usize>().unwrap_or(0) * 1_024);
             return self.dribble(stream, &format!("{signed}\r\n{part}"));
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of an exchange, which say whether the request may have been sent.
 
+use http::StatusCode;
 use std::fmt;
 
 /// Whether a request was sent in an exchange that failed.
@@ -36,6 +37,8 @@
     ResponseTooLong,
     /// No memory for the response body became free before the deadline.
     ResponseMemory,
+    /// The status of the response is none that ends an exchange.
+    InvalidStatus(StatusCode),
     /// The response has neither a length nor chunked encoding, so a truncated body would go unnoticed.
     ResponseUnframed,
 }
@@ -55,6 +58,7 @@
             | Self::OtherResponse
             | Self::ResponseTooLong
             | Self::ResponseMemory
+            | Self::InvalidStatus(_)
             | Self::ResponseUnframed => SendState::MaybeSent,
         }
     }
@@ -80,6 +84,9 @@
             Self::OtherResponse => f.write_str("response to another request"),
             Self::ResponseTooLong => f.write_str("response body exceeds the length limit"),
             Self::ResponseMemory => f.write_str("memory for response bodies is used up"),
+            Self::InvalidStatus(status) => {
+                write!(f, "{} is not the status of a final response", status.as_u16())
+            }
             Self::ResponseUnframed => {
                 f.write_str("response has neither a content length nor chunked encoding")
             }
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -5,7 +5,7 @@
 use crate::memory::ResponseMemory;
 use crate::read_meter::{MeteredBody, MeteredStream, ReadMeter};
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -251,6 +251,9 @@
                 },
                 Ok(Ok(response)) => response,
             };
+            if !is_final(response.status()) {
+                return Err(LinkError::InvalidStatus(response.status()));
+            }
             meter.begin();
             let response = response.map(|body| MeteredBody::new(body, meter.clone()));
             let identity = header.map_or(ResponseIdentity::Same, |name| {
@@ -436,6 +439,12 @@
     }
 }
 
+/// Whether a status ends an exchange. The HTTP library accepts any three digits, and hands on the status 101,
+/// which no request here asks for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a response states where it ends.
 fn is_framed(response: &Response<MeteredBody<Incoming>>) -> bool {
     response.body().size_hint().exact().is_some()
