Soak: teams, quotas, cold servers, evacuations and a store that comes back older

Change: callers of three teams, one over its quota and one unknown; the store loses up to four seconds and gets the lost writes again up to 1.5 s later; data centres are evacuated; added servers are cold for two seconds. Checked from what callers and servers see.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
 /// Number of slots that a server reports. It sheds requests only at three times as many in
@@ -29,6 +29,8 @@
 /// How many times longer than normal a slow server takes.
 const SLOWDOWN_FACTOR: u32 = 7;
 
+/// Time for which a server that is added is cold.
+const COLD_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which a server that refuses a request wants no others.
 pub const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
 
@@ -51,6 +53,8 @@
 
 struct ServerState {
     name: String,
+    data_centre: &'static str,
+    cold_until: Instant,
     fault: AtomicU8,
     /// Requests a second that the server accepts; 0 without a limit.
     limit: AtomicU32,
@@ -119,18 +123,24 @@
             verifier: Arc::clone(verifier),
         };
         for _ in 0..count {
-            fleet.add(store).await?;
+            fleet.add_cold(store, Duration::ZERO).await?;
         }
         Ok(fleet)
     }
 
     /// Starts one more server and writes its record to the store.
     pub async fn add(&self, store: &StoreStandin) -> Result<()> {
+        self.add_cold(store, COLD_PERIOD).await
+    }
+
+    async fn add_cold(&self, store: &StoreStandin, cold: Duration) -> Result<()> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let name = format!("s{number}");
         let data_centre = DATA_CENTRES[number as usize % DATA_CENTRES.len()];
         let state = Arc::new(ServerState {
             name: name.clone(),
+            data_centre,
+            cold_until: Instant::now() + cold,
             fault: AtomicU8::new(ServerFault::None as u8),
             limit: AtomicU32::new(0),
             running: AtomicU32::new(0),
@@ -142,7 +152,8 @@
         let proxy = FaultProxy::start(listener.local_addr()?).await?;
         let routes = Router::new().fallback(handle_request).with_state(Arc::clone(&state));
         tokio::spawn(async move { axum::serve(listener, routes).await });
-        store.put_server(&name, proxy.address, data_centre, false);
+        self.verifier.record_cold(&name, cold);
+        store.put_server_cold(&name, proxy.address, data_centre, false, cold);
         let server = StandinServer { name, data_centre, proxy, state };
         self.servers.lock().unwrap_or_else(PoisonError::into_inner).push(server);
         Ok(())
@@ -195,6 +206,10 @@
     if state.is_leaving.load(Ordering::Relaxed) {
         add_header(&names.leaving, "1");
     }
+    let cold_ms = state.cold_until.saturating_duration_since(Instant::now()).as_millis();
+    if cold_ms > 0 {
+        add_header(&names.warm_up, &cold_ms.to_string());
+    }
     let limit = state.limit.load(Ordering::Relaxed);
     if limit > 0 {
         add_header(&names.limit, &limit.to_string());
@@ -232,6 +247,9 @@
         return (StatusCode::SERVICE_UNAVAILABLE, headers).into_response();
     }
     state.verifier.record_run(&state.name, &id, !uri.path().starts_with("/book/"));
+    let team = header_text(&names.team);
+    let has_key = headers.contains_key(&names.api_key);
+    state.verifier.record_headers(&id, state.data_centre, &team, has_key);
     state.running.fetch_add(1, Ordering::Relaxed);
     let guard = RunningGuard(&state.running);
     let factor = if fault == ServerFault::Slow as u8 { SLOWDOWN_FACTOR } else { 1 };
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::notices::GatewayProcess;
 use crate::process::GatewayFleet;
+use crate::teams::CallerTeam;
 use crate::verifier::{RequestOutcome, RunVerifier};
 use anyhow::{Result, anyhow};
 use bytes::Bytes;
@@ -117,12 +118,13 @@
     async fn send_one(&mut self) {
         self.refresh_addresses().await;
         self.number += 1;
-        let id = format!("c{}-{}", self.seed, self.number);
+        let team = CallerTeam::draw(&mut self.random);
+        let id = format!("c{}-{}-{}", self.seed, self.number, team.name());
         let is_idempotent = self.random.random_bool(0.6);
         let outcome = match self.connect().await {
             Some((address, sender)) => {
                 self.verifier.record_request(&id, self.process_at(address));
-                self.send(address, sender, &id, is_idempotent).await
+                self.send(address, sender, &id, is_idempotent, team).await
             }
             None => RequestOutcome::Unanswered,
         };
@@ -199,8 +201,9 @@
         mut sender: Connection,
         id: &str,
         is_idempotent: bool,
+        team: CallerTeam,
     ) -> RequestOutcome {
-        let request = match self.build_request(id, is_idempotent) {
+        let request = match self.build_request(id, is_idempotent, team) {
             Ok(request) => request,
             Err(cause) => {
                 self.verifier.record_finding(format!("request {id} could not be built: {cause}"));
@@ -242,6 +245,7 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                 RequestOutcome::Refused
             }
+            StatusCode::UNAUTHORIZED if team == CallerTeam::Nobody => RequestOutcome::Rejected,
             status if status.is_client_error() => {
                 self.verifier
                     .record_finding(format!("request {id} was rejected with status {status}"));
@@ -258,7 +262,12 @@
         }
     }
 
-    fn build_request(&self, id: &str, is_idempotent: bool) -> Result<Request<Full<Bytes>>> {
+    fn build_request(
+        &self,
+        id: &str,
+        is_idempotent: bool,
+        team: CallerTeam,
+    ) -> Result<Request<Full<Bytes>>> {
         let names = self.binding.headers();
         let timeout_ms = u64::try_from(REQUEST_TIMEOUT.as_millis()).map_err(|_| {
             anyhow!("timeout {REQUEST_TIMEOUT:?} is too long for a deadline header")
@@ -271,6 +280,8 @@
         Ok(builder
             .header(header::HOST, "shop.example")
             .header(&names.request_id, id)
+            .header(&names.api_key, team.key())
+            .header(&names.team, "forged")
             .header(&names.deadline, HeaderValue::from(timeout_ms))
             .body(Full::new(Bytes::from_static(b"body")))?)
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,9 +11,11 @@
 mod fault;
 mod limits;
 mod notices;
+mod operators;
 mod process;
 mod proxy;
 mod store;
+mod teams;
 mod verifier;
 mod version_check;
 
@@ -21,6 +23,7 @@
 use crate::caller::run_caller;
 use crate::fault::{FaultKinds, run_faults};
 use crate::limits::run_limits;
+use crate::operators::run_operators;
 use crate::process::{GatewayFleet, OutputTarget, programs_folder};
 use crate::store::StoreStandin;
 use crate::verifier::RunVerifier;
@@ -88,6 +91,8 @@
         Arc::clone(&verifier),
     )));
     tasks.push(tokio::spawn(run_limits(options.seed, Arc::clone(&servers), Arc::clone(&verifier))));
+    let operators = run_operators(options.seed, kinds, store.clone(), Arc::clone(&verifier));
+    tasks.push(tokio::spawn(operators));
     let duration = Duration::from_secs(options.seconds);
     run_faults(options.seed, kinds, duration, &fleet, &store, &servers, &verifier).await?;
     tokio::time::sleep(RECOVERY_DELAY).await;
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -4,7 +4,7 @@
 use anyhow::Result;
 use axum::body::Bytes;
 use axum::extract::{Query, State};
-use axum::http::{StatusCode, Uri};
+use axum::http::{HeaderValue, StatusCode, Uri};
 use axum::response::{IntoResponse, Response};
 use axum::{Json, Router};
 use base64::Engine;
@@ -13,7 +13,7 @@
     ItemBody, KeyCondition, LEASE_PATH, LeaseBody, RANGE_PATH, RangeBody, TXN_PATH, TxnBody,
     TxnRequest, WATCH_PATH, WatchBody,
 };
-use platform::{CONFIG_KEY, SERVER_PREFIX};
+use platform::{CONFIG_KEY, ERA_HEADER, EVACUATION_PREFIX, SERVER_PREFIX};
 use rand::RngExt;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -41,7 +41,21 @@
     Lossy(f64),
 }
 
+/// A change that the operators or a server wrote, and that they write again if the store loses it.
+struct AuthoredChange {
+    at: Instant,
+    revision: u64,
+    key: String,
+    value: Option<String>,
+}
+
 struct StoreState {
+    /// How often the store came back from an older copy.
+    era: u32,
+    /// All changes with the time of each, oldest first, from which older copies are made.
+    changes: Vec<(Instant, ItemBody)>,
+    authored: Vec<AuthoredChange>,
+    lost: Vec<AuthoredChange>,
     revision: u64,
     items: BTreeMap<String, ItemBody>,
     /// Changes after `compacted_revision`, oldest first.
@@ -74,6 +88,7 @@
         let deleted = value.is_none();
         let item = ItemBody { key: key.into(), value, revision: self.revision, deleted };
         self.log.push(item.clone());
+        self.changes.push((Instant::now(), item.clone()));
         if deleted {
             self.items.remove(key);
         } else {
@@ -81,12 +96,45 @@
         }
         self.revision
     }
+
+    /// Like [`Self::set`], for a change that is written again if it is lost.
+    fn set_authored(&mut self, key: &str, value: Option<String>) {
+        let revision = self.set(key, value.clone());
+        let change = AuthoredChange { at: Instant::now(), revision, key: key.to_owned(), value };
+        self.authored.push(change);
+    }
+
+    /// Loses all changes of the last `age`.
+    fn come_back(&mut self, age: Duration) {
+        let is_kept = |at: Instant| at.elapsed() > age;
+        self.changes.retain(|(at, _)| is_kept(*at));
+        let (kept, lost): (Vec<_>, Vec<_>) =
+            self.authored.drain(..).partition(|change| is_kept(change.at));
+        self.authored = kept;
+        self.lost.extend(lost);
+        self.items.clear();
+        for (_, item) in &self.changes {
+            match item.deleted {
+                true => self.items.remove(item.key.as_str()),
+                false => self.items.insert(item.key.to_string(), item.clone()),
+            };
+        }
+        self.revision = self.changes.last().map_or(1, |(_, item)| item.revision);
+        let revision = self.revision;
+        self.log.retain(|item| item.revision <= revision);
+        self.compacted_revision = self.compacted_revision.min(revision);
+        self.era += 1;
+    }
 }
 
 impl StoreStandin {
     /// Starts an empty store.
     pub async fn start() -> Result<Self> {
         let state = Arc::new(Mutex::new(StoreState {
+            era: 0,
+            changes: Vec::new(),
+            authored: Vec::new(),
+            lost: Vec::new(),
             revision: 1,
             items: BTreeMap::new(),
             log: Vec::new(),
@@ -126,7 +174,7 @@
         let mut state = lock(&self.state);
         state.config_version = version;
         state.config_acknowledged_at = Instant::now();
-        state.set(CONFIG_KEY, Some(STANDARD.encode(text)));
+        state.set_authored(CONFIG_KEY, Some(STANDARD.encode(text)));
     }
 
     /// Returns the newest version of the configuration and when it was acknowledged.
@@ -137,18 +185,52 @@
 
     /// Writes the record of a server.
     pub fn put_server(&self, name: &str, address: SocketAddr, data_centre: &str, is_leaving: bool) {
+        self.put_server_cold(name, address, data_centre, is_leaving, Duration::ZERO);
+    }
+
+    /// Writes the record of a server that stays cold for a time.
+    pub fn put_server_cold(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        data_centre: &str,
+        is_leaving: bool,
+        cold: Duration,
+    ) {
         let text = SERVER_SAMPLE
             .replace("@ADDRESS@", &address.to_string())
             .replace("@CENTRE@", data_centre)
             .replace("@STATE@", if is_leaving { "draining" } else { "ready" })
+            .replace("@COLD_S@", &cold.as_secs_f64().to_string())
             .replace("@BORN@", "1");
         let value = Some(STANDARD.encode(text));
-        lock(&self.state).set(&format!("{SERVER_PREFIX}{name}"), value);
+        lock(&self.state).set_authored(&format!("{SERVER_PREFIX}{name}"), value);
+    }
+
+    /// Evacuates a data centre, or takes it back.
+    pub fn set_evacuated(&self, centre: &str, is_evacuated: bool) {
+        let value = is_evacuated.then(|| STANDARD.encode("{}"));
+        lock(&self.state).set_authored(&format!("{EVACUATION_PREFIX}{centre}"), value);
+    }
+
+    /// Loses what was written in the last `age`, as a store that comes back from an older copy.
+    pub fn come_back(&self, age: Duration) {
+        lock(&self.state).come_back(age);
+    }
+
+    /// Writes again what was lost, in the order in which it was written.
+    pub fn renew_lost_writes(&self) {
+        let mut state = lock(&self.state);
+        let mut lost = std::mem::take(&mut state.lost);
+        lost.sort_by_key(|change| (change.at, change.revision));
+        for change in lost {
+            state.set_authored(&change.key, change.value);
+        }
     }
 
     /// Removes the record of a server.
     pub fn remove_server(&self, name: &str) {
-        lock(&self.state).set(&format!("{SERVER_PREFIX}{name}"), None);
+        lock(&self.state).set_authored(&format!("{SERVER_PREFIX}{name}"), None);
     }
 }
 
@@ -166,7 +248,7 @@
     }
     let number = |name: &str| query.get(name).and_then(|text| text.parse().ok()).unwrap_or(0);
     let path = uri.path();
-    let response = match path {
+    let mut response = match path {
         RANGE_PATH => read_all(&state).into_response(),
         WATCH_PATH => watch(&state, number("after"), number("wait_ms")).await,
         TXN_PATH => write(&state, &body),
@@ -177,6 +259,8 @@
         }
         _ => StatusCode::BAD_REQUEST.into_response(),
     };
+    let era = lock(&state).era;
+    response.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
     let is_lost = match fault {
         StoreFault::Lossy(ratio) => rand::rng().random_bool(ratio),
         _ => false,
--- a/crates/soak/src/verifier.rs
+++ b/crates/soak/src/verifier.rs
@@ -1,6 +1,7 @@
 //! Records what callers and backend servers observe in a run, and reports violated guarantees.
 
 use crate::notices::{GatewayProcess, NoticeWatch};
+use crate::teams::{CallerTeam, TeamWatch};
 use smol_str::SmolStr;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,6 +10,8 @@
 
 /// Time after the store acknowledged that a server leaves in which requests may still start on it.
 const LEAVING_DELAY_MAX: Duration = Duration::from_secs(2);
+/// Time after the store acknowledged an evacuation in which requests may still start there.
+const EVACUATION_DELAY_MAX: Duration = Duration::from_secs(5);
 /// Extra time allowed near an unplanned fault: gateways must first detect that a peer or the store
 /// is unresponsive.
 const FAULT_SLACK: Duration = Duration::from_secs(5);
@@ -50,6 +53,8 @@
     Refused,
     /// The connection ended before the whole response arrived, after the request was sent.
     Broken,
+    /// Response with status 401 to a request with an unknown key.
+    Rejected,
     /// No connection, the request was not sent, or no response within the caller's timeout.
     Unanswered,
 }
@@ -134,6 +139,7 @@
     /// Ids of the requests with the outcome [`RequestOutcome::Broken`].
     broken: Vec<SmolStr>,
     notices: NoticeWatch,
+    teams: TeamWatch,
     findings: Vec<String>,
 }
 
@@ -229,6 +235,36 @@
         }
     }
 
+    /// Records the headers of a request that a server runs, and checks that they name the caller's team and
+    /// that its data centre is not evacuated.
+    pub fn record_headers(&self, id: &str, centre: &str, team: &str, has_key: bool) {
+        let mut state = self.lock();
+        let violation = state.teams.record_run(id, team, has_key);
+        state.findings.extend(violation);
+        let Some(evacuated_at) = state.teams.evacuated_at(centre) else {
+            return;
+        };
+        let was_faulty = state.fault_at.is_some_and(|at| at + FAULT_SLACK > evacuated_at);
+        let limit =
+            if was_faulty { EVACUATION_DELAY_MAX + FAULT_SLACK } else { EVACUATION_DELAY_MAX };
+        if evacuated_at.elapsed() > limit {
+            let late_ms = evacuated_at.elapsed().as_millis();
+            state.findings.push(format!(
+                "request {id} started in {centre} {late_ms} ms after it was evacuated"
+            ));
+        }
+    }
+
+    /// Records that a server starts cold.
+    pub fn record_cold(&self, server: &str, period: Duration) {
+        self.lock().teams.record_cold(server, period);
+    }
+
+    /// Records that the store acknowledges now that a data centre is evacuated, or taken back.
+    pub fn record_evacuation(&self, centre: &str, is_evacuated: bool) {
+        self.lock().teams.record_evacuation(centre, is_evacuated);
+    }
+
     /// Records the outcome of a caller's request, and checks that a refused non-idempotent request
     /// did not run.
     pub fn record_outcome(&self, id: &str, is_idempotent: bool, outcome: RequestOutcome) {
@@ -238,10 +274,11 @@
             RequestOutcome::Failed => "failed",
             RequestOutcome::Refused => "refused",
             RequestOutcome::Broken => "broken",
+            RequestOutcome::Rejected => "rejected",
             RequestOutcome::Unanswered => "unanswered",
         };
         *state.outcome_counts.entry(label).or_default() += 1;
-        if self.is_recovery.load(Ordering::Relaxed) {
+        if self.is_recovery.load(Ordering::Relaxed) && !CallerTeam::is_limited(id) {
             state.recovery_counts[usize::from(outcome == RequestOutcome::Served)] += 1;
         }
         if outcome == RequestOutcome::Broken {
@@ -303,6 +340,7 @@
         if let Some(watch) = state.limited.get_mut(server) {
             watch.arrivals.push(Instant::now());
         }
+        state.teams.record_arrival(server);
         let unheeded = state.notices.record_arrival(server, id);
         state.findings.extend(unheeded);
         if id.starts_with("probe-") {
@@ -386,6 +424,7 @@
         }
         findings.extend(state.retry_budget_violation());
         findings.extend(state.check_rate_violation());
+        findings.extend(state.teams.violations());
         let [not_served, served] = state.recovery_counts;
         let ratio = served as f64 / (served + not_served).max(1) as f64;
         if ratio < RECOVERY_RATIO_MIN {
