Placement: when requests leave the data centre

Cause: a server elsewhere cost a fixed 0.6 of the processing time, whatever the trip, the bytes and the own servers' room. Change: balance::outflow: the measured trip, the bytes of the route at the operators' price, and a margin that shrinks from 70 % of the own capacity in use and grows back over a second. Metrics and a field in the log. Ruled out: no margin at full pressure (seven requests on six slots in the test of uneven data centres); a margin of 1.5 (a request stays on a server seven times slower).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod estimates;
 mod fair_share;
+mod outflow;
 mod placement;
 mod processing;
 mod queue;
@@ -25,6 +26,7 @@
 pub use demand::DemandTable;
 pub use estimates::{BackendState, ExchangeOutcome, LimitStatement, LoadEstimates, LoadReport};
 pub use fair_share::TeamShare;
+pub use outflow::{BorderPrice, OutflowTable, centre_pressure};
 pub use placement::{
     ExpectedFinish, PlacementDecision, PlacementInputs, PlacementPolicy, RandomPlacement,
 };
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -2,6 +2,7 @@
 
 use crate::contention::ContentionCurve;
 use crate::estimates::{BackendState, LoadEstimates};
+use crate::outflow::OutflowTable;
 use crate::rate_limit::RateAllowance;
 use crate::reach::ServerReach;
 use model::{DataCentre, MonoTime, ServerKey, ServiceName, bounded_duration};
@@ -13,9 +14,6 @@
 const SLOWDOWN_DURATION_MEAN: Duration = Duration::from_millis(250);
 /// Cost of a failed exchange, as time.
 const FAILURE_COST: Duration = Duration::from_millis(1_500);
-/// Cost of a server in another data centre, as a ratio to the processing time of the request.
-/// Traffic between data centres is billed.
-const REMOTE_COST_RATIO: f64 = 0.6;
 /// Reduction of the cost of a server to which this instance has sent no request yet, as time. With
 /// it, servers that are added in any data centre get requests.
 const UNUSED_SERVER_BONUS: Duration = Duration::from_millis(150);
@@ -47,6 +45,10 @@
     pub processing_time: Duration,
     /// Contention curve of the service.
     pub contention: &'a ContentionCurve,
+    /// Name of the request's route.
+    pub route: &'a str,
+    /// What a server in another data centre costs.
+    pub outflow: &'a OutflowTable,
     /// Servers that must not get the request.
     pub avoid: &'a [ServerKey],
     /// Number of waiting requests of the service that are served before this one.
@@ -140,11 +142,19 @@
         let queued_s = (occupied - slots + 1.0).max(0.0) / slots * run_s;
         let failure_cost = state.failure_ratio(now) * FAILURE_COST.as_secs_f64();
         let is_near = state.spec.data_centre == *inputs.data_centre;
-        let remote_cost =
-            if is_near { 0.0 } else { inputs.processing_time.as_secs_f64() * REMOTE_COST_RATIO };
+        let remote_cost = match is_near {
+            true => 0.0,
+            false => inputs.outflow.trip_cost(inputs.route, &state.spec.data_centre),
+        };
+        // No margin for a server that was added: it must get requests in any data centre.
+        let margin = match is_near || state.is_unused() {
+            true => 0.0,
+            false => inputs.outflow.margin(inputs.service, inputs.processing_time),
+        };
         let tie_break = 1.0 + self.random.random_range(0.0..TIE_BREAK_RATIO_MAX);
         let bonus = if state.is_unused() { UNUSED_SERVER_BONUS.as_secs_f64() } else { 0.0 };
-        ((run_s + queued_s + failure_cost + remote_cost) * tie_break - bonus, run_s + queued_s)
+        let cost = run_s + queued_s + failure_cost + remote_cost + margin;
+        (cost * tie_break - bonus, run_s + queued_s)
     }
 }
 
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -8,6 +8,7 @@
 use crate::budget::{BudgetPolicy, ExtraAccount, RetryWindow, ShareClaim};
 use crate::estimates::{ExchangeOutcome, LoadEstimates};
 use crate::fair_share::{FairOrder, ServedRates, TeamShare};
+use crate::outflow::{BorderPrice, OutflowTable, centre_pressure};
 use crate::placement::{PlacementDecision, PlacementInputs, PlacementPolicy};
 use crate::processing::ProcessingTimes;
 use model::{DataCentre, Millis, MonoTime, ServerKey, ServiceName, SlotCount};
@@ -39,6 +40,8 @@
     pub budget: BudgetPolicy,
     /// Whether the whole fleet starts for the first time.
     pub is_first_start: bool,
+    /// What the bytes between data centres cost.
+    pub border_price: BorderPrice,
 }
 
 /// A request that asks for a slot.
@@ -86,6 +89,10 @@
     pub report_age: Option<Duration>,
     /// Expected duration of the exchange.
     pub expected: Duration,
+    /// Whether the server is in another data centre.
+    pub is_away: bool,
+    /// Part of the own data centre's capacity for the service that was in use, 0 to 1.
+    pub pressure: f64,
 }
 
 /// Why a submitted request was refused without being sent.
@@ -168,6 +175,8 @@
     pub estimates: LoadEstimates,
     /// Processing times of the routes and contention curves of the services.
     pub processing: ProcessingTimes,
+    /// When requests leave the data centre.
+    pub outflow: OutflowTable,
     waiting: HashMap<ServiceName, BTreeMap<OrderKey, WaitingRequest>>,
     waiting_count: usize,
     served: ServedRates,
@@ -187,10 +196,10 @@
     ) -> Self {
         let extra = ExtraAccount::new(now, policy.budget.window, policy.is_first_start);
         Self {
-            policy,
             placement_policy,
             estimates: LoadEstimates::default(),
             processing: ProcessingTimes::default(),
+            outflow: OutflowTable::new(policy.border_price),
             waiting: HashMap::new(),
             waiting_count: 0,
             served: ServedRates::default(),
@@ -198,6 +207,7 @@
             extra,
             next_id: 0,
             stop: None,
+            policy,
         }
     }
 
@@ -349,6 +359,12 @@
     }
 
     fn place(&mut self, now: MonoTime, spec: &RequestSpec, ahead: usize) -> PlacementDecision {
+        if self.outflow.is_due(now, &spec.service) {
+            let contention = self.processing.contention(&spec.service);
+            let centre = &self.policy.data_centre;
+            let pressure = centre_pressure(&self.estimates, &spec.service, centre, contention, now);
+            self.outflow.observe(now, &spec.service, pressure);
+        }
         let finish_within = self.is_late(now, spec).then(|| spec.deadline.since(now));
         let processing_time = self.processing_time(spec);
         let inputs = PlacementInputs {
@@ -358,6 +374,8 @@
             data_centre: &self.policy.data_centre,
             processing_time,
             contention: self.processing.contention(&spec.service),
+            route: &spec.route,
+            outflow: &self.outflow,
             avoid: &spec.avoid,
             ahead,
             finish_within,
@@ -382,6 +400,8 @@
             slowdown: state.slowdown(now).0,
             report_age: state.report_age(now),
             expected,
+            is_away: state.spec.data_centre != self.policy.data_centre,
+            pressure: self.outflow.pressure(&state.spec.service),
             key: key.clone(),
         };
         self.estimates.start_exchange(now, &key, id.0);
--- a/crates/balance/tests/rate_limit.rs
+++ b/crates/balance/tests/rate_limit.rs
@@ -118,8 +118,13 @@
 
     fn sender(&self, index: usize) -> Sender {
         let data_centre = self.centre_of(index);
-        let policy =
-            QueuePolicy { data_centre, waiting_max: 1_000, budget: BUDGET, is_first_start: false };
+        let policy = QueuePolicy {
+            data_centre,
+            waiting_max: 1_000,
+            budget: BUDGET,
+            is_first_start: false,
+            border_price: support::BORDER_PRICE,
+        };
         let placement_policy = Box::new(ExpectedFinish::with_seed(index as u64 + 1));
         let mut queue = RequestQueue::new(at(0), policy, placement_policy);
         queue.estimates.set_plan(at(0), instance(index), self.centre_of(index), self.plan(0));
--- a/crates/balance/tests/spoiled_reports.rs
+++ b/crates/balance/tests/spoiled_reports.rs
@@ -72,6 +72,7 @@
         waiting_max: 4,
         budget: BUDGET,
         is_first_start: false,
+        border_price: support::BORDER_PRICE,
     };
     let mut queue = RequestQueue::new(at(0), policy, Box::new(PanickingPlacement { decisions: 0 }));
     queue.estimates.upsert_server(at(0), spec(0, "north"));
--- a/crates/balance/tests/support/mod.rs
+++ b/crates/balance/tests/support/mod.rs
@@ -5,8 +5,8 @@
 pub mod simulation;
 
 use balance::{
-    BudgetPolicy, ExpectedFinish, LoadReport, ProcessingSample, ProcessingTimes, QueuePolicy,
-    RequestQueue, RequestSpec,
+    BorderPrice, BudgetPolicy, ExpectedFinish, LoadReport, ProcessingSample, ProcessingTimes,
+    QueuePolicy, RequestQueue, RequestSpec,
 };
 use model::{BackendSpec, IncarnationId, Millis, MonoTime, ServerKey, ServiceName, SlotCount};
 use std::time::Duration;
@@ -73,6 +73,9 @@
     });
 }
 
+/// Price of bytes between data centres in the tests.
+pub const BORDER_PRICE: BorderPrice = BorderPrice { per_megabyte: Duration::from_millis(100) };
+
 /// Retry budget in the tests.
 pub const BUDGET: BudgetPolicy =
     BudgetPolicy { ratio: 0.2, extra: 60.0, window: Duration::from_secs(10) };
@@ -90,6 +93,7 @@
         waiting_max,
         budget: BUDGET,
         is_first_start: false,
+        border_price: BORDER_PRICE,
     };
     let mut queue = RequestQueue::new(MonoTime(0), policy, Box::new(ExpectedFinish::with_seed(1)));
     let keys: Vec<ServerKey> = specs.iter().map(|spec| spec.key.clone()).collect();
--- a/crates/balance/tests/uneven_centres.rs
+++ b/crates/balance/tests/uneven_centres.rs
@@ -72,6 +72,7 @@
         waiting_max: 1_000,
         budget: BUDGET,
         is_first_start: false,
+        border_price: support::BORDER_PRICE,
     };
     let mut queue =
         RequestQueue::new(at(0), policy, Box::new(ExpectedFinish::with_seed(index as u64 + 1)));
--- a/crates/balance/tests/warm_up.rs
+++ b/crates/balance/tests/warm_up.rs
@@ -51,6 +51,7 @@
         waiting_max: 1_000,
         budget: BUDGET,
         is_first_start: false,
+        border_price: support::BORDER_PRICE,
     };
     let random = Box::new(ExpectedFinish::with_seed(index as u64));
     let mut queue = RequestQueue::new(at(0), policy, random);
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -56,6 +56,8 @@
     pub slowdown: f64,
     pub report_age: Option<Duration>,
     pub expected: Duration,
+    /// Pressure in the own data centre, for a server in another one.
+    pub away_at_pressure: Option<f64>,
     pub elapsed: Duration,
 }
 
@@ -86,6 +88,8 @@
     pace: Option<f64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     report_age_ms: Option<u128>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    away_at_pressure: Option<f64>,
 }
 
 #[derive(Serialize)]
@@ -191,6 +195,7 @@
             server_had: line.last.map(|last| last.occupancy),
             pace: line.last.map(|last| last.slowdown),
             report_age_ms: line.last.and_then(|last| last.report_age).map(|age| age.as_millis()),
+            away_at_pressure: line.last.and_then(|last| last.away_at_pressure),
         });
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -180,6 +180,11 @@
         if status.is_server_error() { ExchangeOutcome::Failed } else { ExchangeOutcome::Answered };
     state.metrics.exchange(if status.is_server_error() { "failed" } else { "answered" });
     let placement = guard.placement().clone();
+    let bytes = outbound.body.len() + response.body().len();
+    state.queue().outflow.record_bytes(&outbound.route, bytes);
+    if placement.is_away {
+        state.metrics.left_centre(&outbound.service, bytes);
+    }
     if let Some(elapsed) = guard.close(outcome) {
         state.metrics.exchange_seconds.observe(elapsed.as_secs_f64());
         if outcome == ExchangeOutcome::Answered {
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -343,7 +343,7 @@
         if as_of != self.replica.as_of() {
             return;
         }
-        self.confirmations.record(now, now.before(age));
+        self.confirmations.record_age(now, age);
     }
 
     /// Whether the store has confirmed the replica to other instances since this instance's own call
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::stop::{ProcessSignals, run_reload, run_stop};
 use crate::store_sync::run_sync;
 use crate::supervise::spawn_duty;
+use crate::trips::run_trips;
 use model::IncarnationId;
 use smol_str::format_smolstr;
 use std::path::PathBuf;
@@ -115,6 +116,7 @@
     spawn_duty(&state, "health checks", run_health_checks);
     spawn_duty(&state, "limit reports", run_limit_reports);
     spawn_duty(&state, "quota reports", run_quota_reports);
+    spawn_duty(&state, "trips", run_trips);
     spawn_duty(&state, "reload", move |state| run_reload(state, settings_file.clone()));
     run_stop(state, stop_requested).await
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod store_sync;
 mod supervise;
 mod teams;
+mod trips;
 
 pub use binding::{HeaderNames, WireBinding};
 pub use gateway::{GatewayParts, gateway_runtime, run_gateway, run_gateway_until};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,10 @@
     malformed_headers: IntCounterVec,
     input_faults: IntCounterVec,
     panics: IntCounterVec,
+    left_requests: IntCounterVec,
+    left_bytes: IntCounterVec,
+    /// How freely requests leave the data centre, in percent, by service.
+    outflow: IntGaugeVec,
     team_requests: IntCounterVec,
     team_labels: RefCell<HashSet<TeamName>>,
     notices: IntCounterVec,
@@ -144,6 +148,24 @@
                 "Panics of this instance, by task",
                 &["task"],
             ),
+            left_requests: counters(
+                &registry,
+                "lacewing_left_centre_requests_total",
+                "Requests answered by a server in another data centre, by service",
+                &["service"],
+            ),
+            left_bytes: counters(
+                &registry,
+                "lacewing_left_centre_bytes_total",
+                "Bytes of bodies to and from servers in other data centres, by service",
+                &["service"],
+            ),
+            outflow: gauges(
+                &registry,
+                "lacewing_outflow_percent",
+                "How freely requests leave the data centre: 0 they stay, 100 they go where they end first",
+                &["service"],
+            ),
             team_requests: counters(
                 &registry,
                 "lacewing_team_requests_total",
@@ -270,6 +292,18 @@
         self.held_bytes_limit.with_label_values(&[class]).set(value(limit));
     }
 
+    /// Counts a request that was answered in another data centre.
+    pub fn left_centre(&self, service: &ServiceName, bytes: usize) {
+        let labels = [service.as_str()];
+        self.left_requests.with_label_values(&labels).inc();
+        self.left_bytes.with_label_values(&labels).inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
+    /// Sets how freely requests of a service leave the data centre, 0 to 1.
+    pub fn set_outflow(&self, service: &ServiceName, level: f64) {
+        self.outflow.with_label_values(&[service.as_str()]).set((level * 100.0) as i64);
+    }
+
     /// Counts a request of a team that has a key, by what its quota decided.
     pub fn team_request(&self, team: &TeamName, outcome: &str) {
         let mut labels = self.team_labels.borrow_mut();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -235,6 +235,7 @@
             slowdown: placement.slowdown,
             report_age: placement.report_age,
             expected: placement.expected,
+            away_at_pressure: placement.is_away.then_some(placement.pressure),
             elapsed: state.now().since(sent),
         };
         FinishedExchange { end, key: placement.key, line }
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -1,6 +1,6 @@
 //! Settings of an instance, read from an INI file. All errors are reported at once.
 
-use balance::BudgetPolicy;
+use balance::{BorderPrice, BudgetPolicy};
 use fleet::HomePolicy;
 use model::{DataCentre, InstanceName, Millis};
 use settings::{SettingsErrors, SettingsReader};
@@ -55,6 +55,8 @@
     /// Whether the whole fleet starts for the first time, so that no earlier process can have used
     /// retries.
     pub is_first_start: bool,
+    /// What the bytes between data centres cost.
+    pub border_price: BorderPrice,
     /// Rule for the number of homes.
     pub homes: HomePolicy,
     /// Limit on log lines about requests, per second.
@@ -97,6 +99,7 @@
     let window_s = reader.with_default("retries", "window_s", "seconds", 10.0_f64);
     let quota_window_s = reader.with_default("quotas", "window_s", "seconds", 5.0_f64);
     let is_first_start = reader.with_default("retries", "first_start", "true or false", false);
+    let megabyte_ms = reader.with_default("data_centres", "megabyte_ms", "milliseconds", 100.0_f64);
     let log_lines_per_s = reader.with_default("log", "lines_per_s", "a number", 200);
     let built = (|| {
         Some(GatewaySettings {
@@ -121,6 +124,7 @@
             budget: BudgetPolicy { ratio, extra, window: seconds(window_s).duration() },
             quota_window: seconds(quota_window_s).duration().max(QUOTA_WINDOW_MIN),
             is_first_start,
+            border_price: BorderPrice { per_megabyte: seconds(megabyte_ms / 1_000.0).duration() },
             homes: HomePolicy { homes_min, servers_per_home },
             log_lines_per_s,
         })
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -89,6 +89,11 @@
     metrics.replica_revision.set(i64::try_from(revision.number()).unwrap_or(i64::MAX));
     metrics.store_era.set(i64::from(revision.era().0));
     metrics.replica_digest.set(i64::from(replica.digest()));
+    if let Some(table) = state.table() {
+        for service in table.services.keys() {
+            metrics.set_outflow(service, state.queue().outflow.level(service));
+        }
+    }
     let cold = state.queue().estimates.cold_count(state.now());
     metrics.cold_servers.set(i64::try_from(cold).unwrap_or(i64::MAX));
     metrics.waiting.set(i64::try_from(state.queue().waiting()).unwrap_or(i64::MAX));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -150,6 +150,7 @@
             waiting_max: WAITING_MAX,
             budget: settings.budget,
             is_first_start: settings.is_first_start,
+            border_price: settings.border_price,
         };
         let clock = ProcessClock::start();
         let queue = RequestQueue::new(clock.now(), policy, Box::new(ExpectedFinish::default()));
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -233,6 +233,7 @@
         match read_settings(&file.to_string_lossy(), &known) {
             Ok(settings) => {
                 state.log.state("reload", "settings changed");
+                state.queue().outflow.set_price(settings.border_price);
                 state.settings.replace(Rc::new(settings));
                 refresh_fleet(&state);
                 shorten_stop(&state);
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -8,8 +8,8 @@
 use crate::registration::is_registered;
 use crate::state::GatewayState;
 use fleet::{
-    CallFailure, ChangeBatch, StoreChange, StoreRetry, StoreSnapshot, WatchDuty, WatchInputs,
-    watch_duty,
+    CallFailure, ChangeBatch, MemberRecord, StoreChange, StoreRetry, StoreSnapshot, WatchDuty,
+    WatchInputs, watch_duty,
 };
 use model::{Millis, StoreRevision};
 use rand::RngExt;
@@ -173,28 +173,38 @@
 async fn wait_registered(state: &Rc<GatewayState>) {
     let until = state.now().plus(REGISTERED_TIMEOUT);
     while !is_registered(state) && !state.has_written_records.get() && state.now() < until {
+        confirm_first_snapshot(state).await;
         tokio::time::sleep(REGISTERED_POLL_INTERVAL).await;
     }
 }
 
-/// Pulls from a home if nothing has confirmed the first snapshot for [`FIRST_CONFIRMATION_WAIT`]. A snapshot
-/// that is old may have a record of this instance that was removed since; then nobody sends it changes, and it
-/// would wait until the time comes at which it watches itself.
+/// Returns the peer address of a home, of the own data centre if there is one.
+fn home_to_pull_from(state: &GatewayState) -> Option<SocketAddr> {
+    let fleet = state.fleet_ref();
+    let this = fleet.members.this();
+    let others: Vec<&MemberRecord> =
+        fleet.homes().iter().filter(|home| home.name != this.name).collect();
+    let near: Vec<&MemberRecord> =
+        others.iter().filter(|home| home.data_centre == this.data_centre).copied().collect();
+    let candidates = if near.is_empty() { others } else { near };
+    candidates.choose(&mut rand::rng()).map(|home| home.peer_address)
+}
+
+/// Pulls from a home if the first snapshot has no record of this instance, to which then nobody sends changes, or
+/// if nothing has confirmed it for [`FIRST_CONFIRMATION_WAIT`]: a snapshot that is old may have a record that was
+/// removed since. It would otherwise wait until it is registered, or until it watches the store itself.
 async fn confirm_first_snapshot(state: &Rc<GatewayState>) {
     let now = state.now();
     let is_due = {
         let fleet = state.fleet_ref();
         let age = fleet.snapshot_at.map(|at| now.since(at));
-        fleet.confirmed_at().is_none() && age.is_some_and(|age| age >= FIRST_CONFIRMATION_WAIT)
+        let is_known = age.is_some_and(|age| age < FIRST_CONFIRMATION_WAIT) && is_registered(state);
+        fleet.confirmed_at().is_none() && age.is_some() && !is_known
     };
     if !is_due || !state.pull_backoff.borrow().is_due(now) {
         return;
     }
-    let own = state.settings().peer_address;
-    let mut homes: Vec<SocketAddr> =
-        state.fleet_ref().homes().iter().map(|home| home.peer_address).collect();
-    homes.retain(|home| *home != own);
-    let Some(home) = homes.choose(&mut rand::rng()).copied() else {
+    let Some(home) = home_to_pull_from(state) else {
         return;
     };
     match pull_from(state, home).await {
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -31,6 +31,8 @@
     Fresh,
 }
 
+/// Weight of a connection that took longer to open than those before.
+const CONNECT_TIME_WEIGHT: f64 = 0.1;
 /// Time since the last response within which a connection counts as recently used.
 pub const RECENT_USE_AGE_MAX: Duration = Duration::from_secs(1);
 /// Time by which an idle connection is closed before the server's own keep-alive timeout. It covers
@@ -145,6 +147,8 @@
     /// Connections whose last response came before this time, or whose exchange in progress began
     /// before it, are not reused.
     invalid_before: Option<Instant>,
+    /// Time that connections take to open.
+    connect_time: Option<Duration>,
 }
 
 type AddressMap = HashMap<SocketAddr, AddressPool>;
@@ -387,7 +391,8 @@
         deadline: Instant,
     ) -> Result<OpenConnection, LinkError> {
         let guard = self.count_open(address)?;
-        let connect_by = deadline.min(Instant::now() + self.settings.connect_timeout);
+        let started = Instant::now();
+        let connect_by = deadline.min(started + self.settings.connect_timeout);
         let opening = tokio::time::timeout_at(connect_by.into(), TcpStream::connect(address));
         let stream = match opening.await {
             Err(_) => return Err(LinkError::ConnectTimeout),
@@ -395,6 +400,7 @@
             Ok(Ok(stream)) => stream,
         };
         stream.set_nodelay(true).map_err(LinkError::Connect)?;
+        self.record_connect_time(address, started.elapsed());
         let builder = Builder::new().max_buf_size(READ_BUFFER_MAX_BYTES).clone();
         let meter = ReadMeter::for_heads(READ_BUFFER_MAX_BYTES);
         let stream = MeteredStream::new(stream, meter.clone());
@@ -408,6 +414,20 @@
         Ok(OpenConnection { sender, meter })
     }
 
+    fn record_connect_time(&self, address: SocketAddr, took: Duration) {
+        let mut addresses = lock(&self.addresses);
+        let pool = addresses.entry(address).or_default();
+        // Near the shortest of the latest ones: longer ones waited for a processor.
+        pool.connect_time = Some(pool.connect_time.map_or(took, |known| {
+            took.min(known + took.saturating_sub(known).mul_f64(CONNECT_TIME_WEIGHT))
+        }));
+    }
+
+    /// Returns the time that connections to an address take to open; `None` if none was opened lately.
+    pub fn connect_time(&self, address: SocketAddr) -> Option<Duration> {
+        lock(&self.addresses).get(&address)?.connect_time
+    }
+
     fn count_open(&self, address: SocketAddr) -> Result<OpenGuard, LinkError> {
         let mut addresses = lock(&self.addresses);
         let pool = addresses.entry(address).or_default();
