lacewingctl route: where a request would go now, and why

Change: instances answer previews on the metrics port by the decision code of the traffic (RequestQueue::preview, ServerExclusion and ServerCost are used by both), with the age of what they know; nothing is sent, counted or taken from a quota, and the key is in no answer. lacewingctl route prints it.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -29,11 +29,12 @@
 pub use outflow::{BorderPrice, OutflowTable, centre_pressure};
 pub use placement::{
     ExpectedFinish, PlacementDecision, PlacementInputs, PlacementPolicy, RandomPlacement,
+    ServerCost, ServerExclusion, ServerView,
 };
 pub use processing::{ProcessingSample, ProcessingTimes};
 pub use queue::{
-    Placement, QueueDecision, QueueId, QueuePolicy, QueueRefusal, QueueStop, RefusalCause,
-    RequestQueue, RequestSpec,
+    Placement, PlannedDecision, QueueDecision, QueueId, QueuePolicy, QueuePreview, QueueRefusal,
+    QueueStop, RefusalCause, RequestQueue, RequestSpec,
 };
 pub use quota::{QuotaLedger, QuotaRefusal, TeamUse};
 pub use rate_limit::RateAllowance;
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -121,10 +121,26 @@
     by_report * weight + by_mean * (1.0 - weight)
 }
 
-impl ExpectedFinish {
-    /// Returns the cost of sending the request to a server and its expected duration there, both in
-    /// seconds.
-    fn cost(&mut self, inputs: &PlacementInputs<'_>, state: &BackendState) -> (f64, f64) {
+/// Parts of the cost of sending a request to a server, in seconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServerCost {
+    /// Expected time at the server.
+    pub run_s: f64,
+    /// Expected wait at the server.
+    pub queued_s: f64,
+    /// For the ratio of its exchanges that failed lately.
+    pub failures_s: f64,
+    /// For the trip to another data centre and the bytes that cross the border.
+    pub trip_s: f64,
+    /// By which a server in another data centre must be better.
+    pub margin_s: f64,
+    /// Deducted for a server that got no request of this instance yet.
+    pub bonus_s: f64,
+}
+
+impl ServerCost {
+    /// Returns the cost of a server for a request.
+    pub fn of(inputs: &PlacementInputs<'_>, state: &BackendState) -> Self {
         let now = inputs.now;
         let slots = f64::from(state.spec.slots.0.max(1));
         let occupancy = state.occupancy(now);
@@ -140,24 +156,127 @@
         );
         let run_s = run_s * warm_up * contention;
         let queued_s = (occupied - slots + 1.0).max(0.0) / slots * run_s;
-        let failure_cost = state.failure_ratio(now) * FAILURE_COST.as_secs_f64();
         let is_near = state.spec.data_centre == *inputs.data_centre;
-        let remote_cost = match is_near {
+        let trip_s = match is_near {
             true => 0.0,
             false => inputs.outflow.trip_cost(inputs.route, &state.spec.data_centre),
         };
         // No margin for a server that was added: it must get requests in any data centre.
-        let margin = match is_near || state.is_unused() {
+        let margin_s = match is_near || state.is_unused() {
             true => 0.0,
             false => inputs.outflow.margin(inputs.service, inputs.processing_time),
         };
-        let tie_break = 1.0 + self.random.random_range(0.0..TIE_BREAK_RATIO_MAX);
-        let bonus = if state.is_unused() { UNUSED_SERVER_BONUS.as_secs_f64() } else { 0.0 };
-        let cost = run_s + queued_s + failure_cost + remote_cost + margin;
-        (cost * tie_break - bonus, run_s + queued_s)
+        Self {
+            run_s,
+            queued_s,
+            failures_s: state.failure_ratio(now) * FAILURE_COST.as_secs_f64(),
+            trip_s,
+            margin_s,
+            bonus_s: if state.is_unused() { UNUSED_SERVER_BONUS.as_secs_f64() } else { 0.0 },
+        }
+    }
+
+    /// Returns the expected duration of the exchange.
+    pub fn duration_s(&self) -> f64 {
+        self.run_s + self.queued_s
+    }
+
+    /// Returns the sum, with all parts but the bonus multiplied by `tie_break`.
+    fn total(&self, tie_break: f64) -> f64 {
+        let parts = [self.run_s, self.queued_s, self.failures_s, self.trip_s, self.margin_s];
+        parts.iter().sum::<f64>() * tie_break - self.bonus_s
+    }
+
+    /// Returns the sum of all parts.
+    pub fn sum(&self) -> f64 {
+        self.total(1.0)
+    }
+}
+
+/// Why a server gets no request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerExclusion {
+    /// It is leaving, its data centre is evacuated, or another server has its address.
+    Withdrawn,
+    /// It failed or shed requests a moment ago.
+    BackingOff,
+    /// It asked for no requests.
+    Quiet,
+    /// The request was sent there already.
+    Tried,
+    /// It limits its requests, or is cold, and this instance's part is used up.
+    RateUsedUp,
+    /// All slots that are worth using are taken, or may be claimed by other instances.
+    Full,
+    /// Other homes use it.
+    OutOfReach,
+}
+
+impl ServerExclusion {
+    /// Returns the reason in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Withdrawn => "leaving, evacuated or replaced",
+            Self::BackingOff => "failed a moment ago",
+            Self::Quiet => "asked for no requests",
+            Self::Tried => "tried already",
+            Self::RateUsedUp => "its rate is used up",
+            Self::Full => "no free slot",
+            Self::OutOfReach => "used by other homes",
+        }
+    }
+
+    /// Returns why a server can't get a request, apart from its slots and rates.
+    fn of_candidate(inputs: &PlacementInputs<'_>, state: &BackendState) -> Option<Self> {
+        if !state.is_eligible() {
+            Some(Self::Withdrawn)
+        } else if state.is_quiet(inputs.now) {
+            Some(Self::Quiet)
+        } else if !state.is_usable(inputs.now) {
+            Some(Self::BackingOff)
+        } else {
+            inputs.avoid.contains(&state.spec.key).then_some(Self::Tried)
+        }
+    }
+
+    /// Returns why a candidate has no room for a request.
+    fn of_room(inputs: &PlacementInputs<'_>, state: &BackendState) -> Option<Self> {
+        let slots = inputs.contention.useful_slots(state.spec.slots);
+        if inputs.estimates.exhausted_allowance(inputs.now, state).is_some() {
+            Some(Self::RateUsedUp)
+        } else {
+            let is_free =
+                state.accepts_one_more(inputs.now) && claimed_slots(inputs, state, slots) < slots;
+            (!is_free).then_some(Self::Full)
+        }
     }
 }
 
+/// One server as the placement of a request sees it.
+#[derive(Debug)]
+pub struct ServerView<'a> {
+    /// The server.
+    pub state: &'a BackendState,
+    /// Why it gets no request; `None` if it can get the request.
+    pub exclusion: Option<ServerExclusion>,
+    /// Its cost.
+    pub cost: ServerCost,
+}
+
+/// Returns all servers of the service as the placement of a request sees them.
+pub fn server_views<'a>(inputs: &PlacementInputs<'a>) -> Vec<ServerView<'a>> {
+    let chosen: Vec<&BackendState> = candidates(inputs);
+    let view = |state: &'a BackendState| {
+        let is_chosen = chosen.iter().any(|known| known.spec.key == state.spec.key);
+        let exclusion = ServerExclusion::of_candidate(inputs, state)
+            .or_else(|| (!is_chosen).then_some(ServerExclusion::OutOfReach))
+            .or_else(|| ServerExclusion::of_room(inputs, state));
+        ServerView { state, exclusion, cost: ServerCost::of(inputs, state) }
+    };
+    let within = inputs.estimates.servers_of(inputs.service);
+    within.chain(inputs.estimates.servers_beyond(inputs.service)).map(view).collect()
+}
+
 /// Returns the number of a server's slots that count as taken. Competing instances see the same
 /// free slots of a server at the same time. For each of them this adds as many requests as this
 /// instance has sent since the report, and one more. An idle server is never counted as full.
@@ -204,9 +323,8 @@
 /// Returns the servers of the service that may get the request now: those within reach or, if none of
 /// them can be used, any.
 fn candidates<'a>(inputs: &PlacementInputs<'a>) -> Vec<&'a BackendState> {
-    let avoid = inputs.avoid;
     let is_candidate =
-        |state: &&BackendState| state.is_usable(inputs.now) && !avoid.contains(&state.spec.key);
+        |state: &&BackendState| ServerExclusion::of_candidate(inputs, state).is_none();
     let within: Vec<&BackendState> =
         inputs.estimates.servers_of(inputs.service).filter(is_candidate).collect();
     if !within.is_empty() {
@@ -223,10 +341,6 @@
             return without_usable_server(inputs);
         }
         let slots_of = |state: &BackendState| inputs.contention.useful_slots(state.spec.slots);
-        let is_free = |state: &BackendState| {
-            state.accepts_one_more(now)
-                && claimed_slots(inputs, state, slots_of(state)) < slots_of(state)
-        };
         let mut best: Option<(&BackendState, f64, f64)> = None;
         // Slots in use, converted to slots at normal speed that serve as many requests.
         let mut busy_at_normal_speed = 0.0;
@@ -243,12 +357,14 @@
                 slowdown * weight + inputs.estimates.mean_slowdown() * (1.0 - weight);
             busy_at_normal_speed +=
                 f64::from(state.occupancy(now).min(slots_of(state))) / expected_slowdown.max(1.0);
-            if !is_free(state) {
+            if ServerExclusion::of_room(inputs, state).is_some() {
                 continue;
             }
-            let (cost, duration_s) = self.cost(inputs, state);
+            let server_cost = ServerCost::of(inputs, state);
+            let tie_break = 1.0 + self.random.random_range(0.0..TIE_BREAK_RATIO_MAX);
+            let cost = server_cost.total(tie_break);
             if best.is_none_or(|(_, lowest, _)| cost < lowest) {
-                best = Some((state, cost, duration_s));
+                best = Some((state, cost, server_cost.duration_s()));
             }
         }
         let processing_s = inputs.processing_time.as_secs_f64();
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -9,7 +9,9 @@
 use crate::estimates::{ExchangeOutcome, LoadEstimates};
 use crate::fair_share::{FairOrder, ServedRates, TeamShare};
 use crate::outflow::{BorderPrice, OutflowTable, centre_pressure};
-use crate::placement::{PlacementDecision, PlacementInputs, PlacementPolicy};
+use crate::placement::{
+    PlacementDecision, PlacementInputs, PlacementPolicy, ServerView, server_views,
+};
 use crate::processing::ProcessingTimes;
 use model::{DataCentre, Millis, MonoTime, ServerKey, ServiceName, SlotCount};
 use smol_str::SmolStr;
@@ -144,6 +146,28 @@
     Refuse(QueueRefusal),
 }
 
+/// What the queue does with a request that arrives.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannedDecision {
+    /// Sends it to this server; with the expected duration of the exchange.
+    Send(ServerKey, Duration),
+    /// Lets it wait; with the expected wait.
+    Wait(Duration),
+    /// Refuses it.
+    Refuse(QueueRefusal),
+}
+
+/// What would happen to a request, with the servers that the decision depends on.
+#[derive(Debug)]
+pub struct QueuePreview<'a> {
+    /// Number of waiting requests that would be served before it.
+    pub ahead: usize,
+    /// The decision.
+    pub planned: PlannedDecision,
+    /// All servers of the service.
+    pub servers: Vec<ServerView<'a>>,
+}
+
 #[derive(Debug)]
 struct WaitingRequest {
     id: QueueId,
@@ -245,32 +269,70 @@
             return (id, Some(refuse(RefusalCause::Stopping, RETRY_AFTER_MIN)));
         }
         self.estimates.demands.record_request(now, &spec.service);
-        let ahead = self.count_ahead(now, &spec);
-        let decision = match self.place(now, &spec, ahead) {
-            PlacementDecision::Send(key, expected) => {
+        let decision = match self.decide(now, &spec).1 {
+            PlannedDecision::Send(key, expected) => {
                 self.record_served(now, &spec);
                 Some(QueueDecision::Send(self.start(now, id, key, expected)))
             }
+            PlannedDecision::Refuse(refusal) => Some(QueueDecision::Refuse(refusal)),
+            PlannedDecision::Wait(_) => {
+                self.waiting_count += 1;
+                let order = (spec.priority, spec.arrived, id.0);
+                let queue = self.waiting.entry(spec.service.clone()).or_default();
+                queue.insert(order, WaitingRequest { id, spec });
+                None
+            }
+        };
+        (id, decision)
+    }
+
+    /// Decides on a request that arrives now. Also returns the number of requests ahead of it.
+    fn decide(&mut self, now: MonoTime, spec: &RequestSpec) -> (usize, PlannedDecision) {
+        let ahead = self.count_ahead(now, spec);
+        let planned = match self.place(now, spec, ahead) {
+            PlacementDecision::Send(key, expected) => PlannedDecision::Send(key, expected),
             PlacementDecision::NoServer => {
-                Some(refuse(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
+                PlannedDecision::Refuse(refusal(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
             }
-            PlacementDecision::Quiet(left) => Some(refuse_quiet(left)),
+            PlacementDecision::Quiet(left) => PlannedDecision::Refuse(quiet_refusal(left)),
             PlacementDecision::Wait(wait) => {
-                let is_too_late = !self.can_meet_deadline(now.plus(wait), &spec);
+                let is_too_late = !self.can_meet_deadline(now.plus(wait), spec);
                 if self.waiting_count >= self.policy.waiting_max {
-                    Some(refuse(RefusalCause::QueueFull, wait))
+                    PlannedDecision::Refuse(refusal(RefusalCause::QueueFull, wait))
                 } else if is_too_late {
-                    Some(refuse(RefusalCause::TooLate, wait))
+                    PlannedDecision::Refuse(refusal(RefusalCause::TooLate, wait))
                 } else {
-                    self.waiting_count += 1;
-                    let order = (spec.priority, spec.arrived, id.0);
-                    let queue = self.waiting.entry(spec.service.clone()).or_default();
-                    queue.insert(order, WaitingRequest { id, spec });
-                    None
+                    PlannedDecision::Wait(wait)
                 }
             }
         };
-        (id, decision)
+        (ahead, planned)
+    }
+
+    /// Returns what would happen to a request that arrived now, by the same decision as for requests that
+    /// do. It is not counted, queued or sent.
+    pub fn preview<'a>(&'a mut self, now: MonoTime, spec: &'a RequestSpec) -> QueuePreview<'a> {
+        let (ahead, planned) = match self.is_admitted(spec) {
+            true => self.decide(now, spec),
+            false => (0, PlannedDecision::Refuse(refusal(RefusalCause::Stopping, RETRY_AFTER_MIN))),
+        };
+        let processing_time = self.processing_time(spec);
+        let contention = self.processing.contention(&spec.service);
+        let inputs = PlacementInputs {
+            estimates: &self.estimates,
+            service: &spec.service,
+            now,
+            data_centre: &self.policy.data_centre,
+            processing_time,
+            contention,
+            route: &spec.route,
+            outflow: &self.outflow,
+            avoid: &spec.avoid,
+            ahead,
+            finish_within: None,
+        };
+        let servers = server_views(&inputs);
+        QueuePreview { ahead, planned, servers }
     }
 
     /// Whether a request that is sent at `now` can probably be answered before its deadline.
@@ -483,7 +545,9 @@
                     PlacementDecision::NoServer => {
                         Some(refuse(RefusalCause::NoServer, RETRY_AFTER_MIN * 10))
                     }
-                    PlacementDecision::Quiet(left) => Some(refuse_quiet(left)),
+                    PlacementDecision::Quiet(left) => {
+                        Some(QueueDecision::Refuse(quiet_refusal(left)))
+                    }
                     PlacementDecision::Wait(_) => {
                         // A request that excludes servers may have to wait while the requests
                         // behind it can be placed.
@@ -511,13 +575,15 @@
     }
 }
 
-/// Refuses a request until the first server takes requests again.
-fn refuse_quiet(left: Duration) -> QueueDecision {
-    let retry_after = left.max(RETRY_AFTER_MIN).into();
-    QueueDecision::Refuse(QueueRefusal { cause: RefusalCause::Quiet, retry_after })
+/// Returns the refusal of a request until the first server takes requests again.
+fn quiet_refusal(left: Duration) -> QueueRefusal {
+    QueueRefusal { cause: RefusalCause::Quiet, retry_after: left.max(RETRY_AFTER_MIN).into() }
+}
+
+fn refusal(cause: RefusalCause, wait: Duration) -> QueueRefusal {
+    QueueRefusal { cause, retry_after: wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX).into() }
 }
 
 fn refuse(cause: RefusalCause, wait: Duration) -> QueueDecision {
-    let retry_after = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX).into();
-    QueueDecision::Refuse(QueueRefusal { cause, retry_after })
+    QueueDecision::Refuse(refusal(cause, wait))
 }
--- a/crates/balance/src/shared_rate.rs
+++ b/crates/balance/src/shared_rate.rs
@@ -279,6 +279,36 @@
         self.allotment + now.since(self.shared_at).as_secs_f64() * rate - self.spent_since
     }
 
+    /// Returns the tokens that a request lacks, by this instance's part or by those that the fleet has left.
+    fn lacking(&self, now: MonoTime) -> Option<f64> {
+        let tokens = self.estimated_tokens(now);
+        let own = self.own_tokens(now);
+        let has_room = self.window_left(now) >= 1.0;
+        let is_free =
+            now >= self.free_from && tokens >= (self.limit.capacity() * FREE_FRACTION).max(1.0);
+        // A part of less than one token would never admit anyone.
+        let is_first = self.spent_since < 1.0 && tokens >= 1.0;
+        let is_admitted = has_room && (is_free || own >= 1.0 || is_first);
+        (!is_admitted).then(|| (1.0 - own).max(1.0 - tokens).max(0.0))
+    }
+
+    /// Returns the time after which a refused caller should return.
+    fn retry_after(&self, lacking: f64) -> Duration {
+        // Until the first reports the whole rate is the best estimate of the part.
+        let share = if self.share > 0.0 { self.share } else { 1.0 };
+        let own_rate = self.limit.refill_rate() * share;
+        let wait_s = (lacking + self.promised) / own_rate.max(f64::MIN_POSITIVE);
+        bounded_duration(wait_s).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+
+    /// Whether a request would be admitted now.
+    ///
+    /// # Errors
+    /// There is no token for this instance; with the time after which the caller should return.
+    pub fn check(&self, now: MonoTime) -> Result<(), Duration> {
+        self.lacking(now).map_or(Ok(()), |lacking| Err(self.retry_after(lacking)))
+    }
+
     /// Takes a token for a request.
     ///
     /// # Errors
@@ -286,27 +316,15 @@
     pub fn admit(&mut self, now: MonoTime) -> Result<(), Duration> {
         self.refill(now);
         self.demand.record(now);
-        let tokens = self.estimated_tokens(now);
-        let own_rate = self.limit.refill_rate() * self.share;
-        let own =
-            self.allotment + now.since(self.shared_at).as_secs_f64() * own_rate - self.spent_since;
-        let has_room = self.window_left(now) >= 1.0;
-        let is_free =
-            now >= self.free_from && tokens >= (self.limit.capacity() * FREE_FRACTION).max(1.0);
-        // A part of less than one token would never admit anyone.
-        let is_first = self.spent_since < 1.0 && tokens >= 1.0;
-        if has_room && (is_free || own >= 1.0 || is_first) {
-            self.take(now, 1.0);
-            self.spent = self.spent.wrapping_add(1);
-            self.spent_since += 1.0;
-            return Ok(());
+        if let Some(lacking) = self.lacking(now) {
+            let retry_after = self.retry_after(lacking);
+            self.promised += 1.0;
+            return Err(retry_after);
         }
-        // Until the first reports the whole rate is the best estimate of the part.
-        let own_rate = if self.share > 0.0 { own_rate } else { self.limit.refill_rate() };
-        let missing = (1.0 - own).max(1.0 - tokens).max(0.0) + self.promised;
-        self.promised += 1.0;
-        Err(bounded_duration(missing / own_rate.max(f64::MIN_POSITIVE))
-            .clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX))
+        self.take(now, 1.0);
+        self.spent = self.spent.wrapping_add(1);
+        self.spent_since += 1.0;
+        Ok(())
     }
 
     /// Whether this instance spent so much since the latest sharing that the others should hear of it at
--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -4,8 +4,8 @@
 use crate::exchange::{OutboundRequest, end_to_end};
 use crate::serve::{CallerResponse, RequestRejection, RoutedRequest, ServedRequest, serve_request};
 use crate::state::GatewayState;
-use crate::teams::{QuotaToken, authenticate, replace_team_headers};
-use balance::{QuotaRefusal, TeamShare};
+use crate::teams::{QuotaToken, authenticate, replace_team_headers, team_share};
+use balance::QuotaRefusal;
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
 use hyper::body::{Body, Incoming};
@@ -178,10 +178,7 @@
         deadline,
     };
     let priority = team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority);
-    let share = team.as_ref().map(|team| TeamShare {
-        team: team.name.clone(),
-        weight: table.teams.as_ref().map_or(1.0, |teams| teams.weight(team)),
-    });
+    let share = team.as_ref().map(|team| team_share(&table, team));
     let version = table.version;
     let routed = RoutedRequest {
         outbound,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod peer_link;
 mod peer_port;
 mod port;
+mod preview;
 mod quota_reports;
 mod records;
 mod registration;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -217,6 +217,27 @@
     }
 }
 
+/// Returns what a request of a route asks of the queue if it arrives now and its caller waits as long as the
+/// route allows.
+pub(crate) fn request_spec_of(
+    now: MonoTime,
+    route: &RouteEntry,
+    service: &ServiceName,
+    share: Option<TeamShare>,
+    priority: u8,
+) -> RequestSpec {
+    RequestSpec {
+        service: service.clone(),
+        route: route.name.clone(),
+        share,
+        priority,
+        arrived: now,
+        objective: now.plus(route.objective.duration()),
+        deadline: now.plus(route.timeout.duration()),
+        avoid: Vec::new(),
+    }
+}
+
 fn start_exchange(
     state: &Rc<GatewayState>,
     routed: &Rc<RoutedRequest>,
--- a/crates/gateway/src/side_port.rs
+++ b/crates/gateway/src/side_port.rs
@@ -1,5 +1,6 @@
 //! The ports for the directory, the readiness check and metrics.
 
+use crate::preview::handle_preview;
 use crate::serve::{CallerResponse, plain_response};
 use crate::state::GatewayState;
 use bytes::Bytes;
@@ -7,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use link::BodyClass;
+use model::route_preview::PREVIEW_PATH;
 use model::{Millis, StoreRevision};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,11 +78,14 @@
     }
 }
 
-/// Handles a request for the metrics.
+/// Handles a request for the metrics, or for the preview of a request.
 pub(crate) async fn handle_metrics(
     state: Rc<GatewayState>,
-    _request: Request<Incoming>,
+    request: Request<Incoming>,
 ) -> CallerResponse {
+    if request.uri().path() == PREVIEW_PATH {
+        return handle_preview(state, request).await;
+    }
     let metrics = &state.metrics;
     let age = state.fleet_ref().confirmed_age(state.now()).as_millis();
     metrics.confirmed_age_ms.set(i64::try_from(age).unwrap_or(i64::MAX));
--- a/crates/gateway/src/teams.rs
+++ b/crates/gateway/src/teams.rs
@@ -2,7 +2,7 @@
 
 use crate::serve::RequestRejection;
 use crate::state::GatewayState;
-use balance::{QuotaRefusal, SharedAccount, SharedLimit};
+use balance::{QuotaRefusal, SharedAccount, SharedLimit, TeamShare};
 use fleet::team_tag;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use model::{MonoTime, TeamName};
@@ -41,6 +41,12 @@
     }
 }
 
+/// Returns the share of a team where teams compete for what is scarce.
+pub(crate) fn team_share(table: &RouteTable, team: &TeamEntry) -> TeamShare {
+    let weight = table.teams.as_ref().map_or(1.0, |teams| teams.weight(team));
+    TeamShare { team: team.name.clone(), weight }
+}
+
 /// Removes the key and any name of a team from the headers of a request, and adds the team's own name.
 /// Changes nothing if the configuration has no teams.
 pub(crate) fn replace_team_headers(
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod name;
 pub mod operator;
 pub mod quantity;
+pub mod route_preview;
 pub mod time;
 pub mod verdict;
 pub mod wire;
--- a/crates/programs/src/bin/lacewingctl.rs
+++ b/crates/programs/src/bin/lacewingctl.rs
@@ -4,8 +4,10 @@
 use bpaf::Bpaf;
 use log_analysis::LineFilter;
 use model::operator::CommandResponse;
+use model::route_preview::PreviewRequest;
 use programs::logs::{LogReport, explain_request, list_lines, summarize_failures};
 use programs::operator::{OperatorClient, render_answer};
+use programs::preview::{fetch_preview, render_preview, would_run};
 use smol_str::SmolStr;
 use std::io::Read;
 use std::net::SocketAddr;
@@ -64,6 +66,25 @@
         #[bpaf(argument("COUNT"), fallback(200))]
         limit: usize,
     },
+    /// Explain where a request would go now, and why, without sending it
+    #[bpaf(command)]
+    Route {
+        /// Metrics port of the gateway to ask
+        #[bpaf(argument("ADDRESS"))]
+        gateway: SocketAddr,
+        /// File with the key of the caller's team; the key is never shown
+        #[bpaf(argument("FILE"))]
+        key_file: Option<PathBuf>,
+        /// Data centre of the caller
+        #[bpaf(argument("NAME"))]
+        data_centre: Option<SmolStr>,
+        /// Host of the request
+        #[bpaf(positional("HOST"))]
+        host: SmolStr,
+        /// Path of the request
+        #[bpaf(positional("PATH"))]
+        path: SmolStr,
+    },
     /// Report what happened to a request, from the logs of instances
     #[bpaf(command)]
     Explain {
@@ -176,6 +197,28 @@
             }
             timeline(options, &query, only.as_deref()).await
         }
+        ToolAction::Route { gateway, key_file, data_centre, host, path } => {
+            let key = match key_file {
+                Some(file) => {
+                    let text = std::fs::read_to_string(file);
+                    Some(text.with_context(|| format!("cannot read {}", file.display()))?)
+                }
+                None => None,
+            };
+            let asked = PreviewRequest {
+                host: host.clone(),
+                path: path.clone(),
+                key: key.map(|key| key.trim().into()),
+                data_centre: data_centre.as_ref().map(|name| name.parse()).transpose()?,
+            };
+            let preview = fetch_preview(*gateway, &asked).await?;
+            if options.json {
+                println!("{}", serde_json::to_string_pretty(&preview)?);
+            } else {
+                print!("{}", render_preview(&preview));
+            }
+            Ok(if would_run(&preview) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
         ToolAction::Explain { request, logs } => {
             options.print(&explain_request(request.clone(), logs)?)
         }
--- a/crates/programs/src/lib.rs
+++ b/crates/programs/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod load;
 pub mod logs;
 pub mod operator;
+pub mod preview;
