--- a/crates/fleet/src/store_contact.rs
+++ b/crates/fleet/src/store_contact.rs
@@ -83,14 +83,6 @@
         self.confirmed_at = Some(earlier.max(at));
     }
 
-    /// Records a confirmation that arrived at `now` and was made `age` before. One from before the start of this
-    /// process is ignored: an instance that never had one states the longest age.
-    pub fn record_age(&mut self, now: MonoTime, age: Duration) {
-        if age < now.since(MonoTime(0)) {
-            self.record(now, now.before(age));
-        }
-    }
-
     /// Time of the latest confirmation.
     pub fn confirmed_at(&self) -> Option<MonoTime> {
         self.confirmed_at
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -297,6 +297,12 @@
         self.confirmations.confirmed_at()
     }
 
+    /// Whether the store has confirmed the replica since this process started. An instance that never had a
+    /// confirmation reports the longest age, which counts as the start.
+    pub fn is_confirmed_since_start(&self) -> bool {
+        self.confirmed_at() > Some(MonoTime(0))
+    }
+
     /// Time since the store last confirmed the replica; [`Duration::MAX`] if it never did.
     pub fn confirmed_age(&self, now: MonoTime) -> Duration {
         self.confirmed_at().map_or(Duration::MAX, |at| now.since(at))
@@ -343,7 +349,7 @@
         if as_of != self.replica.as_of() {
             return;
         }
-        self.confirmations.record_age(now, age);
+        self.confirmations.record(now, now.before(age));
     }
 
     /// Whether the store has confirmed the replica to other instances since this instance's own call
