--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -26,7 +26,7 @@
 pub use demand::DemandTable;
 pub use estimates::{BackendState, ExchangeOutcome, LimitStatement, LoadEstimates, LoadReport};
 pub use fair_share::TeamShare;
-pub use outflow::{BorderPrice, OutflowTable, centre_pressure};
+pub use outflow::{BorderPrice, OutflowQuote, OutflowTable, centre_pressure};
 pub use placement::{
     ExpectedFinish, PlacementDecision, PlacementInputs, PlacementPolicy, RandomPlacement,
     ServerCost, ServerExclusion, ServerView,
--- a/crates/balance/src/outflow.rs
+++ b/crates/balance/src/outflow.rs
@@ -21,7 +21,7 @@
 /// elsewhere is older, and other instances may send to them at the same moment.
 const MARGIN_RATIO_MIN: f64 = 0.4;
 /// Part of the own capacity in use from which the margin shrinks.
-const PRESSURE_START: f64 = 0.7;
+const PRESSURE_START: f64 = 0.8;
 /// Part of the own capacity in use from which there is no margin.
 const PRESSURE_FULL: f64 = 0.95;
 /// Time constant with which the margin grows again once the pressure falls.
@@ -48,13 +48,20 @@
     observed_at: MonoTime,
 }
 
+/// The way to another data centre. There are few of them, so they are searched one by one.
+#[derive(Debug, Clone)]
+struct CentreTrip {
+    centre: DataCentre,
+    /// Time that a request and its response travel longer than within the own data centre, in seconds.
+    longer_s: f64,
+}
+
 /// When requests leave the data centre of this instance, by service.
 #[derive(Debug, Clone)]
 pub struct OutflowTable {
     price: BorderPrice,
     levels: HashMap<ServiceName, OutflowLevel>,
-    /// Time that a request and its response travel longer than within the own data centre.
-    trips: HashMap<DataCentre, Duration>,
+    trips: Vec<CentreTrip>,
     /// Mean bytes of a request and its response, by route.
     bytes: HashMap<SmolStr, f64>,
 }
@@ -62,7 +69,7 @@
 impl OutflowTable {
     /// Creates a table in which all requests stay.
     pub fn new(price: BorderPrice) -> Self {
-        Self { price, levels: HashMap::new(), trips: HashMap::new(), bytes: HashMap::new() }
+        Self { price, levels: HashMap::new(), trips: Vec::new(), bytes: HashMap::new() }
     }
 
     /// Changes the price of bytes between data centres.
@@ -72,7 +79,8 @@
 
     /// Sets the time that a request and its response travel longer to a data centre than within the own one.
     pub fn set_trip(&mut self, centre: DataCentre, trip: Duration) {
-        self.trips.insert(centre, trip);
+        self.trips.retain(|known| known.centre != centre);
+        self.trips.push(CentreTrip { centre, longer_s: trip.as_secs_f64() });
     }
 
     /// Records the size of a request and its response.
@@ -113,18 +121,38 @@
         self.levels.get(service).map_or(0.0, |known| known.pressure)
     }
 
-    /// Returns the margin of a server elsewhere, in seconds.
-    pub fn margin(&self, service: &ServiceName, processing_time: Duration) -> f64 {
+    /// Returns what a server elsewhere costs for a request of a route.
+    pub fn quote(
+        &self,
+        service: &ServiceName,
+        route: &str,
+        processing_time: Duration,
+    ) -> OutflowQuote<'_> {
         let ratio = MARGIN_RATIO + (MARGIN_RATIO_MIN - MARGIN_RATIO) * self.level(service);
-        processing_time.as_secs_f64() * ratio
+        let megabytes = self.bytes.get(route).copied().unwrap_or_default() / 1e6;
+        OutflowQuote {
+            margin_s: processing_time.as_secs_f64() * ratio,
+            bytes_s: megabytes * self.price.per_megabyte.as_secs_f64(),
+            trips: &self.trips,
+        }
     }
+}
 
-    /// Returns the cost of the trip to a server elsewhere and of the bytes of a request, in seconds.
-    pub fn trip_cost(&self, route: &str, centre: &DataCentre) -> f64 {
-        let trip_s = self.trips.get(centre).copied().unwrap_or_default().as_secs_f64();
-        let megabytes = self.bytes.get(route).copied().unwrap_or_default() / 1e6;
-        let bytes_s = megabytes * self.price.per_megabyte.as_secs_f64();
-        trip_s + bytes_s
+/// What a server in another data centre costs for one request, beside the time that it takes there.
+#[derive(Debug, Clone, Copy)]
+pub struct OutflowQuote<'a> {
+    /// By which the server must be better, in seconds.
+    pub margin_s: f64,
+    /// For the bytes that cross the border, in seconds.
+    bytes_s: f64,
+    trips: &'a [CentreTrip],
+}
+
+impl OutflowQuote<'_> {
+    /// Returns the cost of the trip to a data centre and of the bytes, in seconds.
+    pub fn trip_s(&self, centre: &DataCentre) -> f64 {
+        let trip = self.trips.iter().find(|trip| trip.centre == *centre);
+        trip.map_or(0.0, |trip| trip.longer_s) + self.bytes_s
     }
 }
 
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::contention::ContentionCurve;
 use crate::estimates::{BackendState, LoadEstimates};
-use crate::outflow::OutflowTable;
+use crate::outflow::OutflowQuote;
 use crate::rate_limit::RateAllowance;
 use crate::reach::ServerReach;
 use model::{DataCentre, MonoTime, ServerKey, ServiceName, bounded_duration};
@@ -45,10 +45,8 @@
     pub processing_time: Duration,
     /// Contention curve of the service.
     pub contention: &'a ContentionCurve,
-    /// Name of the request's route.
-    pub route: &'a str,
     /// What a server in another data centre costs.
-    pub outflow: &'a OutflowTable,
+    pub outflow: OutflowQuote<'a>,
     /// Servers that must not get the request.
     pub avoid: &'a [ServerKey],
     /// Number of waiting requests of the service that are served before this one.
@@ -159,12 +157,12 @@
         let is_near = state.spec.data_centre == *inputs.data_centre;
         let trip_s = match is_near {
             true => 0.0,
-            false => inputs.outflow.trip_cost(inputs.route, &state.spec.data_centre),
+            false => inputs.outflow.trip_s(&state.spec.data_centre),
         };
         // No margin for a server that was added: it must get requests in any data centre.
         let margin_s = match is_near || state.is_unused() {
             true => 0.0,
-            false => inputs.outflow.margin(inputs.service, inputs.processing_time),
+            false => inputs.outflow.margin_s,
         };
         Self {
             run_s,
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -91,6 +91,9 @@
     /// When the store confirmed, to this instance or to one that reported it, that the replica is the
     /// newest state.
     confirmations: ConfirmationRecord,
+    /// Whether the store has confirmed a replica with records since this process started. Instances that never had a
+    /// confirmation report the longest age, and empty replicas are alike, so both count as confirmations above.
+    pub is_confirmed_since_start: bool,
     /// When a first snapshot of the store, possibly out of date, was read.
     pub snapshot_at: Option<MonoTime>,
     /// Whether this instance's own calls to the store fail.
@@ -130,6 +133,7 @@
             records: DecodedRecords::default(),
             members: MemberTable::new(this),
             confirmations: ConfirmationRecord::default(),
+            is_confirmed_since_start: false,
             snapshot_at: None,
             store_lost: false,
             is_watching: false,
@@ -297,12 +301,6 @@
         self.confirmations.confirmed_at()
     }
 
-    /// Whether the store has confirmed the replica since this process started. An instance that never had a
-    /// confirmation reports the longest age, which counts as the start.
-    pub fn is_confirmed_since_start(&self) -> bool {
-        self.confirmed_at() > Some(MonoTime(0))
-    }
-
     /// Time since the store last confirmed the replica; [`Duration::MAX`] if it never did.
     pub fn confirmed_age(&self, now: MonoTime) -> Duration {
         self.confirmed_at().map_or(Duration::MAX, |at| now.since(at))
@@ -350,6 +348,8 @@
             return;
         }
         self.confirmations.record(now, now.before(age));
+        let is_since_start = age < now.since(MonoTime(0));
+        self.is_confirmed_since_start |= is_since_start && as_of != StoreRevision(0);
     }
 
     /// Whether the store has confirmed the replica to other instances since this instance's own call
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -199,7 +199,7 @@
         let fleet = state.fleet_ref();
         let age = fleet.snapshot_at.map(|at| now.since(at));
         let is_known = age.is_some_and(|age| age < FIRST_CONFIRMATION_WAIT) && is_registered(state);
-        !fleet.is_confirmed_since_start() && age.is_some() && !is_known
+        !fleet.is_confirmed_since_start && age.is_some() && !is_known
     };
     // When the whole fleet starts for the first time nobody is registered, and nobody is ahead.
     let is_due = is_due && !state.settings().is_first_start;
