--- a/crates/balance/tests/shared_rate.rs
+++ b/crates/balance/tests/shared_rate.rs
@@ -137,7 +137,7 @@
 
     fn trouble(&mut self, now: u64) {
         match self.case.trouble {
-            Trouble::Restarts if now % 2_500 == 0 && now > 0 => {
+            Trouble::Restarts if now.is_multiple_of(2_500) && now > 0 => {
                 let index = (now / 2_500) as usize % INSTANCES;
                 self.ledgers[index] = Some(self.case.ledger(at(now), false));
                 self.incarnations[index] += 1;
@@ -211,7 +211,7 @@
             for index in 0..INSTANCES {
                 let age = now - self.reported_ms[index];
                 let has_news = self.ledgers[index].as_ref().is_some_and(QuotaLedger::has_news);
-                let is_due = (now + 35 * index as u64) % REPORT_INTERVAL_MS == 0;
+                let is_due = (now + 35 * index as u64).is_multiple_of(REPORT_INTERVAL_MS);
                 if is_due || (has_news && age >= NEWS_INTERVAL_MS) {
                     self.reported_ms[index] = now;
                     self.report(now, index);
@@ -304,7 +304,7 @@
         if now == 5_000 {
             ledger.set_limits(at(now), HashMap::from([(team(), limit(20.0))]));
         }
-        if now % REPORT_INTERVAL_MS == 0 {
+        if now.is_multiple_of(REPORT_INTERVAL_MS) {
             ledger.share(at(now), Vec::new());
         }
         if ledger.admit(at(now), &team()).is_ok() {
--- a/crates/balance/tests/warm_up.rs
+++ b/crates/balance/tests/warm_up.rs
@@ -35,7 +35,7 @@
 }
 
 fn home(index: usize) -> (InstanceName, DataCentre) {
-    let centre = if index % 2 == 0 { "north" } else { "south" };
+    let centre = if index.is_multiple_of(2) { "north" } else { "south" };
     (format!("h{index}").parse().expect("name"), centre.parse().expect("name"))
 }
 
@@ -79,7 +79,7 @@
         }
         for (index, queue) in senders.iter_mut().enumerate() {
             let mut decided = queue.advance(at(now));
-            if now % (1_000 / REQUESTS_PER_S) == 0 {
+            if now.is_multiple_of(1_000 / REQUESTS_PER_S) {
                 let (id, decision) = queue.submit(at(now), request(at(now), 1));
                 decided.extend(decision.map(|decision| (id, decision)));
             }
--- a/crates/gateway/tests/support/memory_store.rs
+++ b/crates/gateway/tests/support/memory_store.rs
@@ -173,12 +173,13 @@
 
     async fn follow(&self, after: StoreRevision, wait: Millis) -> Result<WatchReply, StoreError> {
         let until = Instant::now() + wait.duration();
-        let state = self.lock_unless_refused()?;
-        if state.unwatched.contains(&self.instance) {
-            return Err(StoreError::NotApplied("watches are refused".into()));
-        }
-        let panics = state.panics;
-        drop(state);
+        let panics = {
+            let state = self.lock_unless_refused()?;
+            if state.unwatched.contains(&self.instance) {
+                return Err(StoreError::NotApplied("watches are refused".into()));
+            }
+            state.panics
+        };
         assert!(!panics, "the watch panics on purpose");
         loop {
             {
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -10,6 +10,7 @@
 mod kernel_counters;
 mod processes;
 mod soak;
+mod teams;
 
 use anyhow::Result;
 use bpaf::Bpaf;
@@ -80,6 +81,9 @@
         /// Inject no faults, only planned work such as stops, reloads and changes
         planned: bool,
     },
+    /// Measure what teams cost an instance, by their number
+    #[bpaf(command)]
+    Teams,
     /// Run the programs as separate processes under random faults and check the guarantees
     #[bpaf(command)]
     Chaos {
@@ -124,6 +128,7 @@
             heavy_factor,
             output,
         }),
+        TaskOptions::Teams => teams::run_teams(),
         TaskOptions::Soak { seed, seconds, planned } => soak::run_soak(seed, seconds, planned),
         TaskOptions::Chaos { seed, seconds, rate } => chaos::run_chaos(seed, seconds, rate),
     }
