--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -5,24 +5,24 @@
 //! teams, then by arrival. Without this order an overloaded queue serves every request late. A request that would probably miss its
 //! deadline is refused at once.
 
+mod decision;
+
+pub use decision::{
+    Placement, PlannedDecision, QueueDecision, QueuePreview, QueueRefusal, RefusalCause,
+};
+
 use crate::budget::{BudgetPolicy, ExtraAccount, RetryWindow, ShareClaim};
 use crate::estimates::{ExchangeOutcome, LoadEstimates};
 use crate::fair_share::{FairOrder, ServedRates, TeamShare};
 use crate::outflow::{BorderPrice, OutflowTable, centre_pressure};
-use crate::placement::{
-    PlacementDecision, PlacementInputs, PlacementPolicy, ServerView, server_views,
-};
+use crate::placement::{PlacementDecision, PlacementInputs, PlacementPolicy, server_views};
 use crate::processing::ProcessingTimes;
-use model::{DataCentre, Millis, MonoTime, ServerKey, ServiceName, SlotCount};
+use decision::{RETRY_AFTER_MIN, quiet_refusal, refusal, refuse};
+use model::{DataCentre, MonoTime, ServerKey, ServiceName};
 use smol_str::SmolStr;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Shortest retry delay that a refused caller gets.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
-/// Longest retry delay that a refused caller gets.
-const RETRY_AFTER_MAX: Duration = Duration::from_secs(2);
 /// A request counts as on time while this multiple of the mean processing time fits before its
 /// objective; most requests take no longer. Without a margin, requests that wait long are served
 /// slightly late.
@@ -72,102 +72,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueueId(pub u64);
 
-/// The server chosen for a request and its estimated load at that time.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Placement {
-    /// The chosen server.
-    pub key: ServerKey,
-    /// Address at which the server accepts requests.
-    pub address: SocketAddr,
-    /// Whether open connections to the server may contain bytes of another response.
-    pub is_desynced: bool,
-    /// Requests in progress at the server, this one excluded.
-    pub occupancy: u32,
-    /// Number of slots of the server.
-    pub slots: SlotCount,
-    /// Last reported slowdown factor of the server; 1 is normal speed.
-    pub slowdown: f64,
-    /// Age of the server's latest load report; `None` before the first one.
-    pub report_age: Option<Duration>,
-    /// Expected duration of the exchange.
-    pub expected: Duration,
-    /// Whether the server is in another data centre.
-    pub is_away: bool,
-    /// Part of the own data centre's capacity for the service that was in use, 0 to 1.
-    pub pressure: f64,
-}
-
-/// Why a submitted request was refused without being sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RefusalCause {
-    /// The service has no eligible server.
-    NoServer,
-    /// The queue is full.
-    QueueFull,
-    /// The expected wait leaves too little time before the deadline.
-    TooLate,
-    /// Too little time was left before the deadline while the request waited.
-    Expired,
-    /// The instance stops and might have to break the request off.
-    Stopping,
-    /// All servers of the service want no requests for a time.
-    Quiet,
-}
-
-impl RefusalCause {
-    /// Returns the name of the cause in logs, metrics and responses.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NoServer => "no_server",
-            Self::QueueFull => "queue_full",
-            Self::TooLate => "too_late",
-            Self::Expired => "expired",
-            Self::Stopping => "stopping",
-            Self::Quiet => "quiet",
-        }
-    }
-}
-
-/// The refusal of a submitted request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct QueueRefusal {
-    /// Why the request was refused.
-    pub cause: RefusalCause,
-    /// Delay after which the caller should try again.
-    pub retry_after: Millis,
-}
-
-/// The queue's final decision on a request.
-#[derive(Debug, Clone, PartialEq)]
-pub enum QueueDecision {
-    /// Send the request to this server.
-    Send(Placement),
-    /// Refuse the request.
-    Refuse(QueueRefusal),
-}
-
-/// What the queue does with a request that arrives.
-#[derive(Debug, Clone, PartialEq)]
-pub enum PlannedDecision {
-    /// Sends it to this server; with the expected duration of the exchange.
-    Send(ServerKey, Duration),
-    /// Lets it wait; with the expected wait.
-    Wait(Duration),
-    /// Refuses it.
-    Refuse(QueueRefusal),
-}
-
-/// What would happen to a request, with the servers that the decision depends on.
-#[derive(Debug)]
-pub struct QueuePreview<'a> {
-    /// Number of waiting requests that would be served before it.
-    pub ahead: usize,
-    /// The decision.
-    pub planned: PlannedDecision,
-    /// All servers of the service.
-    pub servers: Vec<ServerView<'a>>,
-}
-
 #[derive(Debug)]
 struct WaitingRequest {
     id: QueueId,
@@ -211,6 +115,39 @@
     stop: Option<QueueStop>,
 }
 
+/// What the placement of requests depends on.
+struct QueueView<'a> {
+    estimates: &'a LoadEstimates,
+    processing: &'a mut ProcessingTimes,
+    outflow: &'a OutflowTable,
+    data_centre: &'a DataCentre,
+}
+
+impl<'a> QueueView<'a> {
+    fn inputs(
+        self,
+        now: MonoTime,
+        spec: &'a RequestSpec,
+        ahead: usize,
+        finish_within: Option<Duration>,
+    ) -> PlacementInputs<'a> {
+        let objective = spec.objective.since(spec.arrived);
+        let processing_time = self.processing.processing_time(&spec.route, objective);
+        PlacementInputs {
+            estimates: self.estimates,
+            service: &spec.service,
+            now,
+            data_centre: self.data_centre,
+            processing_time,
+            contention: self.processing.contention(&spec.service),
+            outflow: self.outflow.quote(&spec.service, &spec.route, processing_time),
+            avoid: &spec.avoid,
+            ahead,
+            finish_within,
+        }
+    }
+}
+
 impl RequestQueue {
     /// Creates an empty queue without servers, of a process that starts now.
     pub fn new(
@@ -316,20 +253,13 @@
             true => self.decide(now, spec),
             false => (0, PlannedDecision::Refuse(refusal(RefusalCause::Stopping, RETRY_AFTER_MIN))),
         };
-        let processing_time = self.processing_time(spec);
-        let contention = self.processing.contention(&spec.service);
-        let inputs = PlacementInputs {
+        let view = QueueView {
             estimates: &self.estimates,
-            service: &spec.service,
-            now,
+            processing: &mut self.processing,
+            outflow: &self.outflow,
             data_centre: &self.policy.data_centre,
-            processing_time,
-            contention,
-            outflow: self.outflow.quote(&spec.service, &spec.route, processing_time),
-            avoid: &spec.avoid,
-            ahead,
-            finish_within: None,
         };
+        let inputs = view.inputs(now, spec, ahead, None);
         let servers = server_views(&inputs);
         QueuePreview { ahead, planned, servers }
     }
@@ -427,19 +357,13 @@
             self.outflow.observe(now, &spec.service, pressure);
         }
         let finish_within = self.is_late(now, spec).then(|| spec.deadline.since(now));
-        let processing_time = self.processing_time(spec);
-        let inputs = PlacementInputs {
+        let view = QueueView {
             estimates: &self.estimates,
-            service: &spec.service,
-            now,
+            processing: &mut self.processing,
+            outflow: &self.outflow,
             data_centre: &self.policy.data_centre,
-            processing_time,
-            contention: self.processing.contention(&spec.service),
-            outflow: self.outflow.quote(&spec.service, &spec.route, processing_time),
-            avoid: &spec.avoid,
-            ahead,
-            finish_within,
         };
+        let inputs = view.inputs(now, spec, ahead, finish_within);
         self.placement_policy.place(&inputs)
     }
 
@@ -572,16 +496,3 @@
         }
     }
 }
-
-/// Returns the refusal of a request until the first server takes requests again.
-fn quiet_refusal(left: Duration) -> QueueRefusal {
-    QueueRefusal { cause: RefusalCause::Quiet, retry_after: left.max(RETRY_AFTER_MIN).into() }
-}
-
-fn refusal(cause: RefusalCause, wait: Duration) -> QueueRefusal {
-    QueueRefusal { cause, retry_after: wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX).into() }
-}
-
-fn refuse(cause: RefusalCause, wait: Duration) -> QueueDecision {
-    QueueDecision::Refuse(refusal(cause, wait))
-}
