--- a/crates/balance/src/outflow.rs
+++ b/crates/balance/src/outflow.rs
@@ -14,9 +14,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Margin for a server elsewhere while the own ones have room, as a ratio to the processing time: it then
-/// gets a request only if the own servers would take twice as long.
-const MARGIN_RATIO: f64 = 1.0;
+/// Margin for a server elsewhere while the own ones have room, as a ratio to the processing time.
+const MARGIN_RATIO: f64 = 0.6;
 /// Margin that remains while the own servers are full, as a ratio to the processing time. What is known of servers
 /// elsewhere is older, and other instances may send to them at the same moment.
 const MARGIN_RATIO_MIN: f64 = 0.4;
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -2,8 +2,8 @@
 //!
 //! A request is sent only into a slot that is free by the load estimates. Requests that can still
 //! meet their objective go before those that can't, then by priority, then by fair shares of the callers'
-//! teams, then by arrival. Without this order an overloaded queue serves every request late. A request that would probably miss its
-//! deadline is refused at once.
+//! teams, then by arrival. Without this order an overloaded queue serves every request late. A request that
+//! would probably miss its deadline is refused at once.
 
 mod decision;
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -83,7 +83,7 @@
     /// [`close`](Self::close) reports.
     pub fn required<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Option<T> {
         let value = self.optional(section, key, expected);
-        if value.is_none() && self.ini.get_from(Some(section), key).is_none() {
+        if value.is_none() && self.text_of(section, key).is_none() {
             self.push_error(section, key, format_smolstr!("missing; expected {expected}"));
         }
         value
@@ -103,7 +103,7 @@
     /// Reads a comma-separated list. Returns an empty list if the key is missing.
     pub fn list<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Vec<T> {
         self.known.insert((section.into(), key.into()));
-        let Some(text) = self.ini.get_from(Some(section), key).map(SmolStr::new) else {
+        let Some(text) = self.text_of(section, key) else {
             return Vec::new();
         };
         let mut values = Vec::new();
@@ -122,9 +122,17 @@
         values
     }
 
+    /// Returns the text of a key; `None` if it is missing or a placeholder of a template, `{{NAME}}`, that
+    /// nothing filled in.
+    fn text_of(&self, section: &str, key: &str) -> Option<SmolStr> {
+        let text = self.ini.get_from(Some(section), key)?;
+        let is_placeholder = text.starts_with("{{") && text.ends_with("}}");
+        (!is_placeholder).then(|| SmolStr::new(text))
+    }
+
     fn optional<T: FromStr>(&mut self, section: &str, key: &str, expected: &str) -> Option<T> {
         self.known.insert((section.into(), key.into()));
-        let text = SmolStr::new(self.ini.get_from(Some(section), key)?);
+        let text = self.text_of(section, key)?;
         let value = text.parse().ok();
         if value.is_none() {
             self.push_error(section, key, format_smolstr!("expected {expected}, found {text:?}"));
--- a/crates/settings/tests/daemon.rs
+++ b/crates/settings/tests/daemon.rs
@@ -22,5 +22,8 @@
     unknown_key: ("[fleet]\n", "[fleet]\ncolour = red\n", "e1.ini:10: [fleet] colour: unknown key");
     bad_seed: ("[fleet]\n", "[fleet]\nseeds = 127.0.0.1:1, x\n", "e1.ini:10: [fleet] seeds: expected an address such as 10.0.0.1:7000, found \"x\"");
     too_many_threads: ("[fleet]\n", "[traffic]\nthreads = 0\n[fleet]\n", "e1.ini:10: [traffic] threads: expected a count from 1 to 64");
+    placeholder_of_an_optional_key: ("[fleet]\n", "[traffic]\nthreads = {{threads}}\n[fleet]\n", "");
+    placeholder_of_a_required_key: ("name = e1", "name = {{node}}", "e1.ini:2: [instance] name: missing; expected an instance name");
+    part_of_a_placeholder: ("name = e1", "name = {{node", "e1.ini:2: [instance] name: expected an instance name, found \"{{node\"");
     two_errors_at_once: ("name = e1\ndata_centre = gt-1", "name = a b\ndata_centre = ?", "e1.ini:2: [instance] name: expected an instance name, found \"a b\"\ne1.ini:3: [instance] data_centre: expected a data centre name, found \"?\"");
 } }
