Quotas: late and old counts of peers; cold servers in a datagram of their own

Change 1: earlier incarnations are ignored while the later one is heard, counts are bounded by what a period allows, and at most twice the latest demand is reserved. Change 2: load reports are as before; PeerDatagram::WarmUps names cold servers.

--- a/crates/balance/src/shared_rate.rs
+++ b/crates/balance/src/shared_rate.rs
@@ -20,6 +20,9 @@
 /// parts of the silent ones. Otherwise its part stays reserved for a window, in which it may still serve
 /// callers that only it reaches.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+/// Multiple of its latest demand that is reserved for a silent instance at most: its callers may send more by now,
+/// and those of others may have moved to it.
+const RESERVED_DEMAND_FACTOR: f64 = 2.0;
 /// Fraction of the burst above which requests are admitted freely. The rest covers what other instances
 /// admit before they report it.
 const FREE_FRACTION: f64 = 0.5;
@@ -357,34 +360,36 @@
         reported: AccountUse,
     ) {
         self.refill(now);
-        let demand = reported.demand.0;
-        match self.uses.iter_mut().find(|known| known.peer == peer) {
-            Some(known) => {
-                let is_same = known.incarnation == incarnation;
-                known.incarnation = incarnation;
-                // A later process counts from zero.
-                let earlier = if is_same { known.spent } else { 0 };
-                // Requests given back can lower the count.
-                let spent = f64::from(reported.spent.wrapping_sub(earlier).cast_signed());
-                let period = now.since(known.reported_at).as_secs_f64();
-                known.spend_rate = if period > 0.0 { (spent / period).max(0.0) } else { 0.0 };
-                known.spent = reported.spent;
-                known.demand = demand;
-                known.reported_at = now;
-                self.take(now, spent);
-            }
-            None => {
-                let spent = reported.spent;
-                self.uses.push(PeerUse {
-                    peer,
-                    incarnation,
-                    spent,
-                    demand,
-                    spend_rate: 0.0,
-                    reported_at: now,
-                });
-            }
+        let (spent, demand) = (reported.spent, reported.demand.0);
+        let latest =
+            PeerUse { peer, incarnation, spent, demand, spend_rate: 0.0, reported_at: now };
+        let Some(index) = self.uses.iter().position(|known| known.peer == peer) else {
+            self.uses.push(latest);
+            return;
+        };
+        let known = self.uses[index];
+        let period = now.since(known.reported_at);
+        if incarnation < known.incarnation && period <= REPORT_AGE_MAX {
+            // A late report of a process that has ended.
+            return;
         }
+        // A later process counts from zero.
+        let earlier = if known.incarnation == incarnation { known.spent } else { 0 };
+        // Requests given back can lower the count.
+        let newly_spent = f64::from(spent.wrapping_sub(earlier).cast_signed());
+        let newly_spent = newly_spent.min(self.most_spent_in(period));
+        let period_s = period.as_secs_f64();
+        let spend_rate = if period_s > 0.0 { (newly_spent / period_s).max(0.0) } else { 0.0 };
+        self.uses[index] = PeerUse { spend_rate, ..latest };
+        // Of a longer time only the part within the window counts.
+        let window_s = self.limit.window.as_secs_f64();
+        self.take(now, newly_spent * (window_s / period_s.max(window_s)));
+    }
+
+    /// Returns the most requests that an instance can have admitted in a period. A process that started again
+    /// may report what it spent long before.
+    fn most_spent_in(&self, period: Duration) -> f64 {
+        self.limit.refill_rate() * period.as_secs_f64() + self.limit.capacity()
     }
 
     /// Recomputes the part that this instance may use. Must be called several times a second.
@@ -412,7 +417,8 @@
         // A started token is kept; whole ones are among those that are shared again.
         let started = self.own_tokens(now).clamp(0.0, 1.0);
         self.share = own / all;
-        self.reserved = silent / all;
+        let reserved_rate = silent * RESERVED_DEMAND_FACTOR / self.limit.refill_rate();
+        self.reserved = (silent / all).min(reserved_rate);
         self.allotment = self.estimated_tokens(now).max(0.0) * self.share;
         self.allotment = self.allotment.max(started);
         self.shared_at = now;
--- a/crates/balance/tests/shared_rate.rs
+++ b/crates/balance/tests/shared_rate.rs
@@ -1,7 +1,7 @@
 //! Quotas over all instances: no window of any account beyond its limit and the tolerance, and nearly all of
 //! it usable, whatever becomes of instances and reports.
 
-use balance::{QuotaLedger, SharedLimit, TeamUse};
+use balance::{AccountUse, QuotaLedger, SharedLimit, TeamUse};
 use model::{IncarnationId, InstanceName, MonoTime, RequestRate, TeamName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -334,3 +334,39 @@
         (1..6).map(|_| ledger.admit(at(1), &team()).expect_err("beyond").retry_after).collect();
     assert!(delays.windows(2).all(|pair| pair[0] < pair[1]), "{delays:?}");
 }
+
+/// What a peer reports after its process has started again: incarnation, requests admitted since its start, and
+/// the time of the report in milliseconds.
+type PeerReport = (u64, u32, u64);
+
+/// Guards against counts of a process that are taken for new requests: one that ended, or one that has served
+/// for long without being heard.
+fn check_peer_reports(reports: &[PeerReport]) {
+    let case = QuotaCase { rate: 50.0, burst: 50.0, usual: 1.0, hot: 1.0, trouble: Trouble::None };
+    let mut ledger = case.ledger(at(0), true);
+    let mut last_ms = 0;
+    for (incarnation, spent, now) in reports.iter().copied() {
+        let usage = AccountUse { spent, demand: RequestRate(5.0) };
+        let uses = vec![TeamUse { team: team(), usage }];
+        ledger.record_peer(at(now), &instance(1), IncarnationId(incarnation), uses);
+        ledger.share(at(now), vec![instance(1)]);
+        last_ms = now;
+    }
+    let admitted = (last_ms + 1_000..last_ms + 2_000).step_by(50).filter(|now| {
+        ledger.share(at(*now), Vec::new());
+        ledger.admit(at(*now), &team()).is_ok()
+    });
+    assert_eq!(admitted.count(), 20, "a team far below its quota");
+}
+
+cases! { check_peer_reports {
+    one_process: (&[(5, 100_000, 1_000), (5, 100_010, 1_200), (5, 100_020, 1_400)]);
+    started_again: (&[(5, 100_000, 1_000), (6, 3, 1_200), (6, 8, 1_400)]);
+    late_report_of_the_process_before:
+        (&[(5, 100_000, 1_000), (6, 3, 1_200), (5, 100_000, 1_250), (6, 8, 1_400)]);
+    started_again_long_before_it_is_heard: (&[(5, 100_000, 1_000), (6, 90_000, 1_200)]);
+    heard_again_after_a_long_time: (&[(5, 100, 1_000), (5, 600, 20_000)]);
+    count_that_wraps: (&[(5, u32::MAX - 2, 1_000), (5, 2, 1_200), (5, 6, 1_400)]);
+    tokens_given_back: (&[(5, 100, 1_000), (5, 98, 1_200)]);
+    clock_that_went_back: (&[(5, 100, 1_000), (4, 2, 3_000), (4, 9, 3_200)]);
+} }
--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -144,8 +144,15 @@
     pub slowdown_tenths: u8,
     /// Age of the report on its arrival in milliseconds, as the sender estimates it.
     pub age_ms: u8,
-    /// Time for which the server stays cold, in tenths of a second; zero if it is warm or does not say.
-    pub warm_up_tenths: u8,
+}
+
+/// A backend server that said in the response to a health check that it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmUpRow {
+    /// Tag of the server and its incarnation; see [`server_tag`].
+    pub server: u32,
+    /// Time for which it stays cold, in tenths of a second.
+    pub left_tenths: u8,
 }
 
 /// What a backend server said about the rate of requests that it accepts from all instances.
@@ -259,6 +266,8 @@
     Limits(LimitMessage),
     /// What an instance has used of the teams' quotas.
     Quotas(QuotaMessage),
+    /// Cold servers among those of a health checker's next load reports.
+    WarmUps(Vec<WarmUpRow>),
 }
 
 /// The reply to an instance that pulls the store's changes after a revision. `batch` has every single
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,8 +20,8 @@
 
 pub use datagram::{
     ChangeBatch, DATAGRAM_MAX_BYTES, HeardHeartbeat, HeartbeatMessage, LimitMessage, LimitRow,
-    LoadRow, PeerDatagram, PullReply, QuotaMessage, QuotaRow, SplitBatch, homes_digest, server_tag,
-    team_tag,
+    LoadRow, PeerDatagram, PullReply, QuotaMessage, QuotaRow, SplitBatch, WarmUpRow, homes_digest,
+    server_tag, team_tag,
 };
 pub use home::HomePolicy;
 pub use member::{FleetSurvey, MemberTable};
--- a/crates/gateway/src/health_check.rs
+++ b/crates/gateway/src/health_check.rs
@@ -12,7 +12,7 @@
 use crate::state::GatewayState;
 use crate::supervise::spawn_task;
 use balance::{BackendState, LoadReport, ServerReach, check_interval};
-use fleet::{LoadRow, PeerDatagram, server_tag};
+use fleet::{LoadRow, PeerDatagram, WarmUpRow, server_tag};
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
 use link::ConnectionChoice;
@@ -150,12 +150,20 @@
         && server.report_age(now).is_none_or(|age| age > report_age_limit)
 }
 
-/// Sends load reports of this health checker to the homes.
-fn send_load_reports(state: &GatewayState, rows: &[LoadRow], reach: LoadReach) {
+/// Sends the results of this health checker to the homes, to each those on servers that it may use.
+fn send_load_reports(state: &GatewayState, checks: &[CheckRow], reach: LoadReach) {
     let queue = state.queue();
-    let addressed = state.fleet_ref().addressed_reports(rows, reach, queue.estimates.plan());
+    let loads: Vec<LoadRow> = checks.iter().map(|check| check.load).collect();
+    let addressed = state.fleet_ref().addressed_reports(&loads, reach, queue.estimates.plan());
     drop(queue);
+    let cold: Vec<WarmUpRow> = checks.iter().filter_map(CheckRow::warm_up).collect();
     for (target, rows) in addressed {
+        // Sent first: a load report alone says that the server is warm.
+        let is_addressed = |cold: &&WarmUpRow| rows.iter().any(|row| row.server == cold.server);
+        let cold: Vec<WarmUpRow> = cold.iter().filter(is_addressed).copied().collect();
+        for chunk in cold.chunks(LOAD_ROWS_MAX) {
+            send_to(state, &PeerDatagram::WarmUps(chunk.to_vec()), &[target]);
+        }
         for chunk in rows.chunks(LOAD_ROWS_MAX) {
             send_to(state, &PeerDatagram::LoadReports(chunk.to_vec()), &[target]);
         }
@@ -182,22 +190,28 @@
         };
         let made_at = MonoTime(now.0.saturating_sub(u64::from(row.age_ms) * 1_000));
         queue.estimates.record_report(made_at, key, report);
-        let left = Duration::from_millis(u64::from(row.warm_up_tenths) * 100);
-        let left = (!left.is_zero()).then_some(left);
-        queue.estimates.record_warm_up(made_at, key, left);
+        // A cold one is named in a datagram of its own.
+        queue.estimates.record_warm_up(made_at, key, None);
     }
     drop((queue, fleet));
     advance_queue(state);
 }
 
+/// Records cold servers that a health checker named.
+pub(crate) fn apply_warm_ups(state: &GatewayState, rows: &[WarmUpRow]) {
+    let told_at = state.now().before(Duration::from_millis(u64::from(REPORT_AGE_MS)));
+    let mut queue = state.queue();
+    let fleet = state.fleet_ref();
+    for row in rows {
+        if let Some(key) = fleet.records.tags.get(&row.server) {
+            let left = Duration::from_millis(u64::from(row.left_tenths) * 100);
+            queue.estimates.record_warm_up(told_at, key, Some(left));
+        }
+    }
+}
+
 /// Builds the row on a server that was checked just now; without a report, the check failed.
-fn load_row(
-    key: &ServerKey,
-    report: Option<LoadReport>,
-    warm_up_left: Option<Duration>,
-) -> LoadRow {
-    let warm_up_tenths = warm_up_left.map_or(0, |left| left.as_millis().div_ceil(100));
-    let warm_up_tenths = u8::try_from(warm_up_tenths).unwrap_or(u8::MAX);
+fn load_row(key: &ServerKey, report: Option<LoadReport>) -> LoadRow {
     let saturating_byte = |value: u32| u8::try_from(value).unwrap_or(u8::MAX);
     let server = server_tag(&key.name, key.incarnation);
     match report {
@@ -207,16 +221,27 @@
             waiting: saturating_byte(report.waiting),
             slowdown_tenths: (report.slowdown * 10.0).round().clamp(1.0, 255.0) as u8,
             age_ms: REPORT_AGE_MS,
-            warm_up_tenths,
-        },
-        None => LoadRow {
-            server,
-            running: 0,
-            waiting: 0,
-            slowdown_tenths: 0,
-            age_ms: 0,
-            warm_up_tenths,
         },
+        None => LoadRow { server, running: 0, waiting: 0, slowdown_tenths: 0, age_ms: 0 },
+    }
+}
+
+/// The result of a health check, for the homes.
+struct CheckRow {
+    load: LoadRow,
+    /// Time for which the server said that it stays cold.
+    warm_up_left: Option<Duration>,
+}
+
+impl CheckRow {
+    fn failed(key: &ServerKey) -> Self {
+        Self { load: load_row(key, None), warm_up_left: None }
+    }
+
+    fn warm_up(&self) -> Option<WarmUpRow> {
+        let left_tenths = self.warm_up_left?.as_millis().div_ceil(100);
+        let left_tenths = u8::try_from(left_tenths).unwrap_or(u8::MAX);
+        (left_tenths > 0).then_some(WarmUpRow { server: self.load.server, left_tenths })
     }
 }
 
@@ -253,7 +278,7 @@
     state: Rc<GatewayState>,
     target: CheckTarget,
     pending: PendingCheck,
-    rows: Rc<RefCell<Vec<LoadRow>>>,
+    rows: Rc<RefCell<Vec<CheckRow>>>,
 ) {
     let row = check_server(&state, &target).await;
     drop(pending);
@@ -275,7 +300,7 @@
 }
 
 /// Checks one server and records the result. Returns the row to report to the homes, if any.
-async fn check_server(state: &Rc<GatewayState>, target: &CheckTarget) -> Option<LoadRow> {
+async fn check_server(state: &Rc<GatewayState>, target: &CheckTarget) -> Option<CheckRow> {
     let request = Request::get(target.path.as_str())
         .header(header::HOST, target.address.to_string())
         .body(Full::default());
@@ -292,7 +317,7 @@
     let Ok(response) = result else {
         state.metrics.exchange("probe_failed");
         state.queue().estimates.record_failed_check(now, &target.key);
-        return Some(load_row(&target.key, None, None));
+        return Some(CheckRow::failed(&target.key));
     };
     let server: Option<ServerName> = response
         .headers()
@@ -314,7 +339,7 @@
         }
         Some(server) if server != target.key.name => {
             state.queue().estimates.record_misdirected(&target.key);
-            Some(load_row(&target.key, None, None))
+            Some(CheckRow::failed(&target.key))
         }
         Some(_) if response.status() == StatusCode::OK => {
             record_named_limit(state, &target.key, response.headers());
@@ -323,11 +348,11 @@
             let report = parse_load_report(state, &target.key, response.headers())?;
             state.queue().estimates.record_report(now, &target.key, report);
             advance_queue(state);
-            Some(load_row(&target.key, Some(report), warm_up_left))
+            Some(CheckRow { load: load_row(&target.key, Some(report)), warm_up_left })
         }
         Some(_) => {
             state.queue().estimates.record_failed_check(now, &target.key);
-            Some(load_row(&target.key, None, None))
+            Some(CheckRow::failed(&target.key))
         }
     }
 }
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -1,7 +1,7 @@
 //! The port for other instances: receives their messages and hands each to the module that owns its
 //! state. The only module that knows all of them.
 
-use crate::health_check::apply_load_reports;
+use crate::health_check::{apply_load_reports, apply_warm_ups};
 use crate::heartbeats::apply_heartbeats;
 use crate::limit_reports::apply_limits;
 use crate::peer_link::{CHANGES_PATH, REGISTRATION_PATH};
@@ -46,6 +46,7 @@
         }
         Ok(PeerDatagram::Relayed(heartbeats)) => apply_heartbeats(state, heartbeats),
         Ok(PeerDatagram::LoadReports(rows)) => apply_load_reports(state, &rows),
+        Ok(PeerDatagram::WarmUps(rows)) => apply_warm_ups(state, &rows),
         Ok(PeerDatagram::Limits(message)) => apply_limits(state, message),
         Ok(PeerDatagram::Quotas(message)) => apply_quota_report(state, message),
         Ok(PeerDatagram::Changes(batch)) => {
