Quotas: instances that cannot be listed yet leave room for the other seeds

Cause: when the store answers nobody while the whole fleet starts for the first time, no instance is listed, so each takes itself for the only one and gives the whole quota.

Change: until its record is in the list, an instance shares a quota as if at least the other seeds had its own demand.

--- a/crates/balance/src/quota.rs
+++ b/crates/balance/src/quota.rs
@@ -87,9 +87,10 @@
     }
 
     /// Recomputes the parts that this instance may use. `expected` are the other instances that should
-    /// report their use. Must be called several times a second.
-    pub fn share(&mut self, now: MonoTime, expected: Vec<InstanceName>) {
-        self.register.expect(expected);
+    /// report their use, `others_min` how many others exist at least, known by name or not. Must be called
+    /// several times a second.
+    pub fn share(&mut self, now: MonoTime, expected: Vec<InstanceName>, others_min: usize) {
+        self.register.expect(expected, others_min);
         self.has_news = false;
         for account in self.accounts.values_mut() {
             account.share(now, &self.register);
--- a/crates/balance/src/shared_rate.rs
+++ b/crates/balance/src/shared_rate.rs
@@ -99,12 +99,15 @@
     peers: Vec<PeerEntry>,
     /// Instances that should report, this one not included.
     expected: Vec<InstanceName>,
+    /// Other instances that exist at least, known by name or not.
+    others_min: usize,
 }
 
 impl PeerRegister {
-    /// Sets the instances that should report.
-    pub fn expect(&mut self, expected: Vec<InstanceName>) {
+    /// Sets the instances that should report, and how many others exist at least, known by name or not.
+    pub fn expect(&mut self, expected: Vec<InstanceName>, others_min: usize) {
         self.expected = expected;
+        self.others_min = others_min;
     }
 
     /// Records that an instance reported. Returns its index.
@@ -138,10 +141,11 @@
         if 2 * (current + 1) > known { window } else { FORGOTTEN_AFTER }
     }
 
-    /// Returns the number of expected instances that never reported.
+    /// Returns the number of instances that should report and never did.
     fn unheard(&self) -> usize {
         let is_heard = |name: &InstanceName| self.peers.iter().any(|peer| peer.name == *name);
-        self.expected.iter().filter(|name| !is_heard(name)).count()
+        let expected = self.expected.iter().filter(|name| !is_heard(name)).count();
+        expected.max(self.others_min.saturating_sub(self.peers.len()))
     }
 }
 
--- a/crates/balance/tests/shared_rate.rs
+++ b/crates/balance/tests/shared_rate.rs
@@ -154,7 +154,7 @@
         };
         // The membership drops lost instances after a second.
         let is_expected = |other: &usize| *other != index && (is_alive[*other] || now < 11_000);
-        ledger.share(at(now), (0..INSTANCES).filter(is_expected).map(instance).collect());
+        ledger.share(at(now), (0..INSTANCES).filter(is_expected).map(instance).collect(), 0);
         self.reports.push(ledger.own_uses(at(now)));
         let report = self.reports.len() - 1;
         for to in (0..INSTANCES).filter(|to| *to != index) {
@@ -305,7 +305,7 @@
             ledger.set_limits(at(now), HashMap::from([(team(), limit(20.0))]));
         }
         if now.is_multiple_of(REPORT_INTERVAL_MS) {
-            ledger.share(at(now), Vec::new());
+            ledger.share(at(now), Vec::new(), 0);
         }
         if ledger.admit(at(now), &team()).is_ok() {
             admitted.push(now);
@@ -315,6 +315,23 @@
     assert!(after <= 10.0 * 20.0 + 20.0 + 10.0 * 4.0 + 1.0, "{after} in ten seconds at 20/s");
 }
 
+#[test]
+fn instances_that_start_and_cannot_be_listed_leave_room_for_each_other() {
+    let case = QuotaCase { rate: 20.0, burst: 10.0, usual: 1.0, hot: 1.0, trouble: Trouble::None };
+    let mut ledgers: Vec<QuotaLedger> = (0..4).map(|_| case.ledger(at(0), true)).collect();
+    let mut admitted = 0;
+    for now in (0..WINDOW_MS).step_by(25) {
+        for ledger in &mut ledgers {
+            if now.is_multiple_of(REPORT_INTERVAL_MS) {
+                ledger.share(at(now), Vec::new(), 3);
+            }
+            admitted += usize::from(ledger.admit(at(now), &team()).is_ok());
+        }
+    }
+    let quota = case.rate * WINDOW_MS as f64 / 1e3 + case.burst;
+    assert!(admitted as f64 <= quota, "{admitted} within a window, {quota} allowed");
+}
+
 #[test]
 fn a_token_given_back_serves_another_request() {
     let case = QuotaCase { rate: 0.1, burst: 1.0, usual: 1.0, hot: 1.0, trouble: Trouble::None };
@@ -349,11 +366,11 @@
         let usage = AccountUse { spent, demand: RequestRate(5.0) };
         let uses = vec![TeamUse { team: team(), usage }];
         ledger.record_peer(at(now), &instance(1), IncarnationId(incarnation), uses);
-        ledger.share(at(now), vec![instance(1)]);
+        ledger.share(at(now), vec![instance(1)], 0);
         last_ms = now;
     }
     let admitted = (last_ms + 1_000..last_ms + 2_000).step_by(50).filter(|now| {
-        ledger.share(at(*now), Vec::new());
+        ledger.share(at(*now), Vec::new(), 0);
         ledger.admit(at(*now), &team()).is_ok()
     });
     assert_eq!(admitted.count(), 20, "a team far below its quota");
--- a/crates/gateway/src/quota_reports.rs
+++ b/crates/gateway/src/quota_reports.rs
@@ -2,6 +2,7 @@
 //! has a quota.
 
 use crate::peer_link::send_to;
+use crate::registration::is_registered;
 use crate::state::GatewayState;
 use balance::{AccountUse, TeamUse};
 use fleet::{PeerDatagram, QuotaMessage, QuotaRow, team_tag};
@@ -46,7 +47,7 @@
         .map(|home| home.name.clone())
         .filter(|name| *name != this.name)
         .collect();
-    state.quotas.borrow_mut().share(now, others);
+    state.quotas.borrow_mut().share(now, others, others_min(state));
     let uses = state.quotas.borrow().own_uses(now);
     if fleet.home_rank().is_none() && uses.is_empty() {
         return;
@@ -73,6 +74,15 @@
     }
 }
 
+/// Returns how many other instances exist at least. Until the fleet's list has this instance's record, the list
+/// may lack the others as well, as when the store answers nobody while the fleet starts for the first time. The
+/// seeds exist in any case.
+fn others_min(state: &GatewayState) -> usize {
+    let settings = state.settings();
+    let is_other = |seed: &&SocketAddr| **seed != settings.peer_address;
+    if is_registered(state) { 0 } else { settings.seeds.iter().filter(is_other).count() }
+}
+
 /// Datagram addresses of the homes, and of the other instances that report.
 fn report_targets(state: &GatewayState, now: MonoTime) -> Vec<SocketAddr> {
     let fleet = state.fleet_ref();
--- a/crates/xtask/src/teams.rs
+++ b/crates/xtask/src/teams.rs
@@ -124,7 +124,7 @@
             // Most are refused after the first; both take the same path.
             let _ = quotas.admit(now(index), &names[index as usize % teams]);
         });
-        let share_us = mean_us(|index| quotas.share(now(index), Vec::new()));
+        let share_us = mean_us(|index| quotas.share(now(index), Vec::new(), 0));
         let rows = quotas.own_uses(now(REPEATS)).len();
         let mut queue = full_queue(teams);
         let fair_us = mean_us(|index| {
