Outflow: comments and the metric's help name the margins that the code has

Cause: the margin in calm times was raised and one under pressure added; comments and a help text still said that nothing of it remains.

Change: texts alone.

Measured: nothing to measure; the whole check script is run on this commit.

--- a/crates/balance/src/outflow.rs
+++ b/crates/balance/src/outflow.rs
@@ -21,7 +21,7 @@
 const MARGIN_RATIO_MIN: f64 = 0.4;
 /// Part of the own capacity in use from which the margin shrinks.
 const PRESSURE_START: f64 = 0.8;
-/// Part of the own capacity in use from which there is no margin.
+/// Part of the own capacity in use from which the margin is [`MARGIN_RATIO_MIN`].
 const PRESSURE_FULL: f64 = 0.95;
 /// Time constant with which the margin grows again once the pressure falls.
 const RETURN_TIME_CONSTANT: Duration = Duration::from_secs(1);
@@ -41,7 +41,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct OutflowLevel {
-    /// 0 while requests stay, 1 while they go wherever they end first.
+    /// 0 while the margin is [`MARGIN_RATIO`], 1 while it is [`MARGIN_RATIO_MIN`].
     level: f64,
     pressure: f64,
     observed_at: MonoTime,
@@ -110,7 +110,7 @@
         self.levels.insert(service.clone(), level);
     }
 
-    /// Returns how freely requests of a service leave, 0 to 1.
+    /// Returns how freely requests of a service leave, 0 (the greatest margin) to 1 (the smallest).
     pub fn level(&self, service: &ServiceName) -> f64 {
         self.levels.get(service).map_or(0.0, |known| known.level)
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -163,7 +163,7 @@
             outflow: gauges(
                 &registry,
                 "lacewing_outflow_percent",
-                "How freely requests leave the data centre: 0 they stay, 100 they go where they end first",
+                "How freely requests leave the data centre: 0 if far better elsewhere, 100 if a little better",
                 &["service"],
             ),
             team_requests: counters(
