--- a/crates/model/src/route_preview.rs
+++ b/crates/model/src/route_preview.rs
@@ -8,8 +8,8 @@
 /// Path of the preview on the metrics port of an instance.
 pub const PREVIEW_PATH: &str = "/v1/route-preview";
 
-/// The request to preview.
-#[derive(Debug, Serialize, Deserialize)]
+/// The request to preview. It has no `Debug`, which would show the key.
+#[derive(Serialize, Deserialize)]
 pub struct PreviewRequest {
     /// Host of the request.
     pub host: SmolStr,
