Balance: one place for the slowdown that a server probably has

Cause: placement and the pressure of a data centre computed the same mixture of report and mean.

Change: LoadEstimates::expected_slowdown; no behaviour changes.

Measured: tests of balance pass.

--- a/crates/balance/src/estimates.rs
+++ b/crates/balance/src/estimates.rs
@@ -413,6 +413,13 @@
         self.mean_slowdown
     }
 
+    /// Returns the slowdown factor that a server probably has now: the reported one, and as that grows old the
+    /// mean of all servers.
+    pub fn expected_slowdown(&self, now: MonoTime, state: &BackendState) -> f64 {
+        let (slowdown, weight) = state.slowdown(now);
+        slowdown * weight + self.mean_slowdown() * (1.0 - weight)
+    }
+
     /// Records the start of an exchange. `exchange_id` must be unique among those in progress.
     pub fn start_exchange(&mut self, now: MonoTime, key: &ServerKey, exchange_id: u64) {
         if let Some(state) = self.servers.get_mut(key) {
--- a/crates/balance/src/outflow.rs
+++ b/crates/balance/src/outflow.rs
@@ -169,9 +169,7 @@
     let (mut used, mut all) = (0.0, 0.0);
     for state in estimates.servers_of(service).filter(is_here) {
         let slots = contention.useful_slots(state.spec.slots);
-        let (slowdown, weight) = state.slowdown(now);
-        let slowdown = slowdown * weight + estimates.mean_slowdown() * (1.0 - weight);
-        let capacity = f64::from(slots) / slowdown.max(1.0);
+        let capacity = f64::from(slots) / estimates.expected_slowdown(now, state).max(1.0);
         let is_free = state.is_usable(now) && estimates.exhausted_allowance(now, state).is_none();
         let in_use = f64::from(state.occupancy(now).min(slots)) / f64::from(slots.max(1));
         all += capacity;
--- a/crates/balance/src/placement.rs
+++ b/crates/balance/src/placement.rs
@@ -350,11 +350,9 @@
                 continue;
             }
             are_all_limited = false;
-            let (slowdown, weight) = state.slowdown(now);
-            let expected_slowdown =
-                slowdown * weight + inputs.estimates.mean_slowdown() * (1.0 - weight);
+            let slowdown = inputs.estimates.expected_slowdown(now, state);
             busy_at_normal_speed +=
-                f64::from(state.occupancy(now).min(slots_of(state))) / expected_slowdown.max(1.0);
+                f64::from(state.occupancy(now).min(slots_of(state))) / slowdown.max(1.0);
             if ServerExclusion::of_room(inputs, state).is_some() {
                 continue;
             }
