Tests: late reports of an ended process, and new homes beside cold servers

Cause: of changes to the code made on purpose, two were caught by no test: a late report of an ended process counted as requests, and a new home used cold servers at once.

Change: the reports' cases also bound what is counted as spent; a test of a new home's first second.

--- a/crates/balance/tests/shared_rate.rs
+++ b/crates/balance/tests/shared_rate.rs
@@ -358,7 +358,7 @@
 
 /// Guards against counts of a process that are taken for new requests: one that ended, or one that has served
 /// for long without being heard.
-fn check_peer_reports(reports: &[PeerReport]) {
+fn check_peer_reports(reports: &[PeerReport], spent_max: f64) {
     let case = QuotaCase { rate: 50.0, burst: 50.0, usual: 1.0, hot: 1.0, trouble: Trouble::None };
     let mut ledger = case.ledger(at(0), true);
     let mut last_ms = 0;
@@ -369,6 +369,8 @@
         ledger.share(at(now), vec![instance(1)], 0);
         last_ms = now;
     }
+    let left = ledger.account(&team()).expect("an account").left(at(last_ms));
+    assert!(left >= case.burst - spent_max, "{left} of {} left", case.burst);
     let admitted = (last_ms + 1_000..last_ms + 2_000).step_by(50).filter(|now| {
         ledger.share(at(*now), Vec::new(), 0);
         ledger.admit(at(*now), &team()).is_ok()
@@ -377,13 +379,13 @@
 }
 
 cases! { check_peer_reports {
-    one_process: (&[(5, 100_000, 1_000), (5, 100_010, 1_200), (5, 100_020, 1_400)]);
-    started_again: (&[(5, 100_000, 1_000), (6, 3, 1_200), (6, 8, 1_400)]);
+    one_process: (&[(5, 100_000, 1_000), (5, 100_010, 1_200), (5, 100_020, 1_400)], 20.0);
+    started_again: (&[(5, 100_000, 1_000), (6, 3, 1_200), (6, 8, 1_400)], 8.0);
     late_report_of_the_process_before:
-        (&[(5, 100_000, 1_000), (6, 3, 1_200), (5, 100_000, 1_250), (6, 8, 1_400)]);
-    started_again_long_before_it_is_heard: (&[(5, 100_000, 1_000), (6, 90_000, 1_200)]);
-    heard_again_after_a_long_time: (&[(5, 100, 1_000), (5, 600, 20_000)]);
-    count_that_wraps: (&[(5, u32::MAX - 2, 1_000), (5, 2, 1_200), (5, 6, 1_400)]);
-    tokens_given_back: (&[(5, 100, 1_000), (5, 98, 1_200)]);
-    clock_that_went_back: (&[(5, 100, 1_000), (4, 2, 3_000), (4, 9, 3_200)]);
+        (&[(5, 100_000, 1_000), (6, 3, 1_200), (5, 100_000, 1_250), (6, 8, 1_400)], 8.0);
+    started_again_long_before_it_is_heard: (&[(5, 100_000, 1_000), (6, 90_000, 1_200)], 100.0);
+    heard_again_after_a_long_time: (&[(5, 100, 1_000), (5, 600, 20_000)], 100.0);
+    count_that_wraps: (&[(5, u32::MAX - 2, 1_000), (5, 2, 1_200), (5, 6, 1_400)], 9.0);
+    tokens_given_back: (&[(5, 100, 1_000), (5, 98, 1_200)], 0.0);
+    clock_that_went_back: (&[(5, 100, 1_000), (4, 2, 3_000), (4, 9, 3_200)], 9.0);
 } }
--- a/crates/balance/tests/warm_up.rs
+++ b/crates/balance/tests/warm_up.rs
@@ -136,6 +136,17 @@
     two_homes_are_replaced: (2, 2, true);
 } }
 
+/// A home that is new leaves cold servers for a second to those that may not know yet that they are none any more.
+#[test]
+fn a_new_home_leaves_cold_servers_to_those_before_it() {
+    let mut queue = sender(2, plan(0..2), &[cold_spec(0, 2 * DURATION_MS)]);
+    assert_eq!(count_sent(&mut queue, 0, 2_000), 0, "no home");
+    let (name, centre) = home(2);
+    queue.estimates.set_plan(at(2_000), name, centre, plan(1..3));
+    assert_eq!(count_sent(&mut queue, 2_000, 2_990), 0, "a home since less than a second");
+    assert!(count_sent(&mut queue, 3_010, 5_000) > 0);
+}
+
 /// Returns whether a request at `now` is sent.
 fn is_sent(queue: &mut RequestQueue, now: MonoTime) -> bool {
     match queue.submit(now, request(now, 1)) {
