--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,7 +27,7 @@
 pub use member::{FleetSurvey, MemberTable};
 pub use panic_record::PanicRecord;
 pub use pause::PauseDetector;
-pub use pull::{PullBackoff, SnapshotQuota};
+pub use pull::{ConfirmationPulls, FirstSnapshot, PullBackoff, SnapshotQuota};
 pub use record::{MemberRecord, RecordDecoder, StoreRecord};
 pub use registrar::{ANNOUNCE_INTERVAL, BATCH_RECORDS_MAX, LEASE_TTL, MemberRegistrar};
 pub use relay::{ChangeOrigin, RelayView};
--- a/crates/fleet/src/pull.rs
+++ b/crates/fleet/src/pull.rs
@@ -18,6 +18,8 @@
 const FAILURES_BEFORE_READ: u32 = 2;
 /// Time between two such reads.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
+/// Time in which heartbeats or changes confirm the first snapshot of an instance that others know.
+const FIRST_CONFIRMATION_WAIT: Duration = Duration::from_millis(400);
 
 /// Delays the pulls of an instance while they fail.
 #[derive(Debug, Clone, Default)]
@@ -62,6 +64,39 @@
     }
 }
 
+/// What an instance knows of its first snapshot.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstSnapshot {
+    /// Time since it was read.
+    pub age: Duration,
+    /// Whether the store has confirmed it, to this instance or to another one.
+    pub is_confirmed: bool,
+    /// Whether it has the record of this instance. Nobody sends changes to an instance without a record.
+    pub is_registered: bool,
+}
+
+/// Pulls by which an instance has its first snapshot confirmed, which may be out of date.
+///
+/// Answers this load: all instances of a large fleet start together, and none of them can confirm anything
+/// until some watch the store. So a pull that confirms nothing delays the next one, like one that fails.
+#[derive(Debug, Clone, Default)]
+pub struct ConfirmationPulls {
+    backoff: PullBackoff,
+}
+
+impl ConfirmationPulls {
+    /// Whether the instance should pull now.
+    pub fn is_due(&self, now: MonoTime, first: FirstSnapshot) -> bool {
+        let is_expected = first.is_registered && first.age < FIRST_CONFIRMATION_WAIT;
+        !first.is_confirmed && !is_expected && self.backoff.is_due(now)
+    }
+
+    /// Records a pull that ended. `jitter`, about 1, spreads the pulls of many instances.
+    pub fn record(&mut self, now: MonoTime, jitter: f64) {
+        self.backoff.record_failure(now, jitter);
+    }
+}
+
 /// Limits how often an instance sends whole snapshots, by the rate of its link.
 #[derive(Debug, Clone)]
 pub struct SnapshotQuota {
--- a/crates/fleet/tests/pull.rs
+++ b/crates/fleet/tests/pull.rs
@@ -1,7 +1,8 @@
 //! Tests of the limits on pulls between instances.
 
-use fleet::{PullBackoff, SnapshotQuota};
+use fleet::{ConfirmationPulls, FirstSnapshot, PullBackoff, SnapshotQuota};
 use model::MonoTime;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use testkit::cases;
 
@@ -65,3 +66,42 @@
     // Ten a second filled the link of a small instance, which then reached nobody for 15 s.
     slow_link: (20.0, 500_000, 2);
 } }
+
+/// Times, in milliseconds, at which an instance pulls in the five seconds after it read its first snapshot.
+fn confirmation_pulls(is_registered: bool, confirmed_at_ms: u64) -> Vec<u64> {
+    let mut pulls = ConfirmationPulls::default();
+    let mut pulled = Vec::new();
+    for now in (0..5_000).step_by(25) {
+        let first = FirstSnapshot {
+            age: Duration::from_millis(now),
+            is_confirmed: now >= confirmed_at_ms,
+            is_registered,
+        };
+        if pulls.is_due(at(now), first) {
+            pulled.push(now);
+            pulls.record(at(now), 1.0);
+        }
+    }
+    pulled
+}
+
+/// Guards against instances of a large fleet that starts, none of which can confirm anything, and that pull from
+/// each other without end.
+fn check_confirmation(
+    is_registered: bool,
+    confirmed_at_ms: u64,
+    count: RangeInclusive<usize>,
+    first_ms: Option<u64>,
+) {
+    let pulled = confirmation_pulls(is_registered, confirmed_at_ms);
+    assert!(count.contains(&pulled.len()), "{pulled:?}");
+    assert_eq!(pulled.first().copied(), first_ms);
+}
+
+cases! { check_confirmation {
+    never_confirmed: (true, u64::MAX, 5..=10, Some(400));
+    never_confirmed_nor_registered: (false, u64::MAX, 5..=10, Some(0));
+    confirmed_soon: (true, 300, 0..=0, None);
+    unregistered_and_confirmed_by_the_first_pull: (false, 25, 1..=1, Some(0));
+    confirmed_late: (true, 1_000, 2..=3, Some(400));
+} }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,8 @@
 use crate::teams::TeamTags;
 use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, QuotaLedger, RequestQueue};
 use fleet::{
-    MemberRegistrar, PanicRecord, PauseDetector, PullBackoff, RecordDecoder, SnapshotQuota,
+    ConfirmationPulls, MemberRegistrar, PanicRecord, PauseDetector, PullBackoff, RecordDecoder,
+    SnapshotQuota,
 };
 use link::{BodyBudget, LinkPool, LinkPoolBuilder, ResponseMemory};
 use model::{IncarnationId, InstanceName, MonoTime, ProcessClock};
@@ -98,6 +99,8 @@
     pub pauses: RefCell<PauseDetector>,
     /// Delays pulls of changes from other instances while they fail.
     pub pull_backoff: RefCell<PullBackoff>,
+    /// Pulls that confirm the first snapshot.
+    pub confirmation_pulls: RefCell<ConfirmationPulls>,
     /// Limits the snapshots that other instances pull from this one.
     pub snapshots: RefCell<SnapshotQuota>,
     /// Wakes the task that keeps this instance registered when its record is gone.
@@ -182,6 +185,7 @@
             registrar: RefCell::default(),
             pauses: RefCell::default(),
             pull_backoff: RefCell::default(),
+            confirmation_pulls: RefCell::default(),
             snapshots: RefCell::new(SnapshotQuota::new(settings.link_mbps)),
             unregistered: Notify::new(),
             registrar_wakeup: Notify::new(),
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -8,10 +8,10 @@
 use crate::registration::is_registered;
 use crate::state::GatewayState;
 use fleet::{
-    CallFailure, ChangeBatch, MemberRecord, StoreChange, StoreRetry, StoreSnapshot, WatchDuty,
-    WatchInputs, watch_duty,
+    CallFailure, ChangeBatch, FirstSnapshot, MemberRecord, StoreChange, StoreRetry, StoreSnapshot,
+    WatchDuty, WatchInputs, watch_duty,
 };
-use model::{Millis, StoreRevision};
+use model::{Millis, MonoTime, StoreRevision};
 use rand::RngExt;
 use rand::seq::{IndexedRandom, SliceRandom};
 use smol_str::{SmolStr, format_smolstr};
@@ -37,8 +37,6 @@
 const REGISTERED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval between checks whether this instance is registered.
 const REGISTERED_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time in which heartbeats or changes confirm the first snapshot of an instance that others know.
-const FIRST_CONFIRMATION_WAIT: Duration = Duration::from_millis(400);
 /// Number of instances that one catch-up asks for changes, one after the other.
 const PULLS_MAX: usize = 2;
 /// Largest fleet whose members all read the store at once when they start.
@@ -191,32 +189,35 @@
 }
 
 /// Pulls from a home if the first snapshot has no record of this instance, to which then nobody sends changes, or
-/// if nothing has confirmed it for [`FIRST_CONFIRMATION_WAIT`]: a snapshot that is old may have a record that was
-/// removed since. It would otherwise wait until it is registered, or until it watches the store itself.
+/// if nothing confirms it for a while: a snapshot that is old may have a record that was removed since. It would
+/// otherwise wait until it is registered, or until it watches the store itself.
 async fn confirm_first_snapshot(state: &Rc<GatewayState>) {
     let now = state.now();
-    let is_due = {
-        let fleet = state.fleet_ref();
-        let age = fleet.snapshot_at.map(|at| now.since(at));
-        let is_known = age.is_some_and(|age| age < FIRST_CONFIRMATION_WAIT) && is_registered(state);
-        !fleet.is_confirmed_since_start && age.is_some() && !is_known
-    };
     // When the whole fleet starts for the first time nobody is registered, and nobody is ahead.
-    let is_due = is_due && !state.settings().is_first_start;
-    if !is_due || !state.pull_backoff.borrow().is_due(now) {
+    if state.settings().is_first_start || !is_confirmation_due(state, now) {
         return;
     }
     let Some(home) = home_to_pull_from(state) else {
         return;
     };
-    match pull_from(state, home).await {
-        Ok(()) => state.pull_backoff.borrow_mut().record_success(),
-        Err(cause) => {
-            state.log.state("pull_failed", &format_smolstr!("{home}: {cause:#}"));
-            let jitter = rand::rng().random_range(0.5..1.5);
-            state.pull_backoff.borrow_mut().record_failure(state.now(), jitter);
-        }
+    if let Err(cause) = pull_from(state, home).await {
+        state.log.state("pull_failed", &format_smolstr!("{home}: {cause:#}"));
     }
+    let jitter = rand::rng().random_range(0.5..1.5);
+    state.confirmation_pulls.borrow_mut().record(state.now(), jitter);
+}
+
+fn is_confirmation_due(state: &GatewayState, now: MonoTime) -> bool {
+    let fleet = state.fleet_ref();
+    let Some(read_at) = fleet.snapshot_at else {
+        return false;
+    };
+    let first = FirstSnapshot {
+        age: now.since(read_at),
+        is_confirmed: fleet.is_confirmed_since_start,
+        is_registered: is_registered(state),
+    };
+    state.confirmation_pulls.borrow().is_due(now, first)
 }
 
 fn current_duty(state: &Rc<GatewayState>) -> WatchDuty {
