--- a/crates/balance/src/demand.rs
+++ b/crates/balance/src/demand.rs
@@ -12,14 +12,22 @@
 /// Age up to which the report of another instance counts.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-#[derive(Debug, Clone, Copy)]
-struct DecayedRate {
+/// A rate in which the weight of each request decays.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct DecayedRate {
     rate: f64,
     at: MonoTime,
 }
 
 impl DecayedRate {
-    fn value(self, now: MonoTime) -> f64 {
+    /// Counts a request.
+    pub fn record(&mut self, now: MonoTime) {
+        self.rate = self.value(now) + 1.0 / RATE_TIME_CONSTANT.as_secs_f64();
+        self.at = now;
+    }
+
+    /// Returns the rate in requests a second.
+    pub fn value(self, now: MonoTime) -> f64 {
         let age = now.since(self.at).as_secs_f64() / RATE_TIME_CONSTANT.as_secs_f64();
         self.rate * (-age).exp()
     }
@@ -42,9 +50,7 @@
 impl DemandTable {
     /// Counts a request of a caller that arrived at this instance.
     pub fn record_request(&mut self, now: MonoTime, service: &ServiceName) {
-        let weight = 1.0 / RATE_TIME_CONSTANT.as_secs_f64();
-        let rate = self.own.get(service).map_or(0.0, |known| known.value(now)) + weight;
-        self.own.insert(service.clone(), DecayedRate { rate, at: now });
+        self.own.entry(service.clone()).or_default().record(now);
     }
 
     /// Records the rates that another instance reported.
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -13,8 +13,10 @@
 mod placement;
 mod processing;
 mod queue;
+mod quota;
 mod rate_limit;
 mod reach;
+mod shared_rate;
 
 pub use budget::{BudgetPolicy, ExtraAccount, RetryWindow, ShareClaim};
 pub use check_interval::check_interval;
@@ -29,5 +31,7 @@
     Placement, QueueDecision, QueueId, QueuePolicy, QueueRefusal, QueueStop, RefusalCause,
     RequestQueue, RequestSpec,
 };
+pub use quota::{QuotaLedger, QuotaRefusal, TeamUse};
 pub use rate_limit::RateAllowance;
 pub use reach::{ReachPlan, ServerReach};
+pub use shared_rate::{AccountUse, PeerIndex, PeerRegister, SharedAccount, SharedLimit};
--- a/crates/fleet/src/datagram.rs
+++ b/crates/fleet/src/datagram.rs
@@ -6,7 +6,7 @@
 use crate::replica::StoreChange;
 use model::{
     ConfigVersion, IncarnationId, InstanceName, Millis, RequestRate, ServerName, ServiceName,
-    StoreRevision,
+    StoreRevision, TeamName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -178,6 +178,43 @@
     }
 }
 
+/// What an instance has used of a team's quota.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct QuotaRow {
+    /// Tag of the team; see [`team_tag`].
+    pub team: u32,
+    /// Requests admitted since the start of the process; wraps around.
+    pub spent: u32,
+    /// Rate of requests that ask to be admitted.
+    pub demand: RequestRate,
+}
+
+/// What an instance has used of the teams' quotas.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaMessage {
+    /// Name of the sender.
+    pub name: InstanceName,
+    /// Process of the sender that counted.
+    pub incarnation: IncarnationId,
+    /// The quotas in use, possibly only some of them.
+    pub rows: Vec<QuotaRow>,
+}
+
+impl QuotaMessage {
+    /// Whether all rates are finite and not negative.
+    pub fn is_valid(&self) -> bool {
+        self.rows.iter().all(|row| row.demand.is_valid())
+    }
+}
+
+/// Returns a short hash that identifies a team. If two teams have the same one, the use of either counts
+/// for one of them.
+pub fn team_tag(name: &TeamName) -> u32 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(name.as_str().as_bytes());
+    first_word(&hasher)
+}
+
 /// Returns a short hash that identifies one incarnation of a backend server. If two servers have
 /// the same one, reports on either count for one of them, which only misplaces a few requests.
 pub fn server_tag(name: &ServerName, incarnation: IncarnationId) -> u32 {
@@ -218,6 +255,8 @@
     Relayed(Vec<HeardHeartbeat>),
     /// What an instance knows of servers that limit the rate of their requests.
     Limits(LimitMessage),
+    /// What an instance has used of the teams' quotas.
+    Quotas(QuotaMessage),
 }
 
 /// The reply to an instance that pulls the store's changes after a revision. `batch` has every single
--- a/crates/gateway/src/binding.rs
+++ b/crates/gateway/src/binding.rs
@@ -28,6 +28,12 @@
     pub leaving: HeaderName,
     /// Id of the backend server that responds to a health check.
     pub server: HeaderName,
+    /// Time for which a backend server that responds to a health check stays cold.
+    pub warm_up: HeaderName,
+    /// Key of a caller's team. It is never forwarded.
+    pub api_key: HeaderName,
+    /// Name of the team, for backend servers.
+    pub team: HeaderName,
 }
 
 /// The protocol binding of a platform.
@@ -45,6 +51,9 @@
     /// malformed.
     fn quiet_period(&self, text: &str) -> Option<Duration>;
 
+    /// Parses the time for which a backend server stays cold; `None` if it is malformed.
+    fn warm_up_left(&self, text: &str) -> Option<Duration>;
+
     /// Path of the directory, where callers look up the addresses to connect to.
     fn directory_path(&self) -> &str;
 
--- a/crates/gateway/src/caller_port.rs
+++ b/crates/gateway/src/caller_port.rs
@@ -2,8 +2,10 @@
 
 use crate::caller_stream::WriteDeadline;
 use crate::exchange::{OutboundRequest, end_to_end};
-use crate::serve::{CallerResponse, RequestRejection, RoutedRequest, serve_request};
+use crate::serve::{CallerResponse, RequestRejection, RoutedRequest, ServedRequest, serve_request};
 use crate::state::GatewayState;
+use crate::teams::{QuotaToken, authenticate, replace_team_headers};
+use balance::QuotaRefusal;
 use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, Uri, header};
 use hyper::body::{Body, Incoming};
@@ -37,10 +39,11 @@
         }
     };
     let mut response = match accepted {
-        Ok((routed, memory)) => {
+        Ok(AcceptedRequest { routed, token, memory }) => {
             let write_deadline = WriteDeadline(state.clock.instant_of(routed.caller_deadline));
-            let mut response = serve_request(&state, routed).await;
+            let ServedRequest { mut response, may_have_run } = serve_request(&state, routed).await;
             drop(memory);
+            token.close(&state, may_have_run);
             response.extensions_mut().insert(write_deadline);
             response
         }
@@ -87,15 +90,32 @@
     }
 }
 
+/// A request that may be sent, with what it holds until its response.
+struct AcceptedRequest {
+    routed: RoutedRequest,
+    token: QuotaToken,
+    memory: HeldBytes,
+}
+
+/// The rejection of a request beyond its team's quota.
+fn over_quota(refusal: QuotaRefusal) -> RequestRejection {
+    RequestRejection {
+        status: StatusCode::TOO_MANY_REQUESTS,
+        text: "the team's quota is used up",
+        retry: Some(refusal.retry_after.into()),
+    }
+}
+
 async fn accept_request(
     state: &Rc<GatewayState>,
     request: Request<Incoming>,
-) -> Result<(RoutedRequest, HeldBytes), RequestRejection> {
+) -> Result<AcceptedRequest, RequestRejection> {
     let arrived = state.now();
     state.wait_confirmed().await;
     wait_first_snapshot(state).await;
     let table = state.table().ok_or_else(RequestRejection::no_config)?;
     let route = find_route(&table, &request)?;
+    let team = authenticate(state, &table, &route, request.headers())?;
     let names = state.binding.headers();
     let Some(request_id) = request.headers().get(&names.request_id).cloned() else {
         return Err(RequestRejection::new(StatusCode::BAD_REQUEST, "no request id"));
@@ -135,15 +155,18 @@
         ));
     };
     let (body, memory) = read?;
-    let service = state.splits.borrow_mut().next(&route).clone();
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path
         .parse()
         .map_err(|_| RequestRejection::new(StatusCode::BAD_REQUEST, "path is not valid"))?;
+    let mut headers = end_to_end(&parts.headers);
+    replace_team_headers(state, &table, team.as_deref(), &mut headers);
+    let token = QuotaToken::take(state, team.as_deref()).map_err(over_quota)?;
+    let service = state.splits.borrow_mut().next(&route).clone();
     let outbound = OutboundRequest {
         method: parts.method,
         uri,
-        headers: end_to_end(&parts.headers),
+        headers,
         body,
         request_id,
         idempotency: route.idempotency,
@@ -152,8 +175,19 @@
         objective: route.objective.duration(),
         deadline,
     };
+    let priority = team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority);
     let version = table.version;
-    Ok((RoutedRequest { outbound, route, service, arrived, caller_deadline, version }, memory))
+    let routed = RoutedRequest {
+        outbound,
+        route,
+        service,
+        team,
+        priority,
+        arrived,
+        caller_deadline,
+        version,
+    };
+    Ok(AcceptedRequest { routed, token, memory })
 }
 
 async fn receive_body(
--- a/crates/gateway/src/decision_log.rs
+++ b/crates/gateway/src/decision_log.rs
@@ -30,6 +30,8 @@
     pub request: &'a str,
     pub route: &'a str,
     pub service: &'a str,
+    /// The team of the caller; `None` if the route needs no key.
+    pub team: Option<&'a str>,
     pub status: u16,
     pub cause: &'a str,
     pub attempts: u32,
@@ -64,6 +66,8 @@
     request: &'a str,
     route: &'a str,
     service: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    team: Option<&'a str>,
     status: u16,
     #[serde(skip_serializing_if = "str::is_empty")]
     cause: &'a str,
@@ -171,6 +175,7 @@
             request: line.request,
             route: line.route,
             service: line.service,
+            team: line.team,
             status: line.status,
             cause: line.cause,
             sent: line.attempts,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use crate::peer_link::open_socket;
 use crate::peer_port::{handle_peer, run_datagrams};
 use crate::port::{PortKind, open_port, serve_port};
+use crate::quota_reports::run_quota_reports;
 use crate::registration::{run_registrar, run_registration};
 use crate::settings_file::GatewaySettings;
 use crate::side_port::{handle_directory, handle_metrics, handle_ready};
@@ -113,6 +114,7 @@
     spawn_duty(&state, "queue", run_queue);
     spawn_duty(&state, "health checks", run_health_checks);
     spawn_duty(&state, "limit reports", run_limit_reports);
+    spawn_duty(&state, "quota reports", run_quota_reports);
     spawn_duty(&state, "reload", move |state| run_reload(state, settings_file.clone()));
     run_stop(state, stop_requested).await
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod peer_link;
 mod peer_port;
 mod port;
+mod quota_reports;
 mod records;
 mod registration;
 mod repeat_limit;
@@ -31,6 +32,7 @@
 mod stop;
 mod store_sync;
 mod supervise;
+mod teams;
 
 pub use binding::{HeaderNames, WireBinding};
 pub use gateway::{GatewayParts, gateway_runtime, run_gateway, run_gateway_until};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,12 +1,19 @@
 //! Counters and histograms of an instance.
 
-use model::ServiceName;
+use model::{ServiceName, TeamName};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::time::Duration;
 
+/// Number of teams with labels of their own; all others have the label [`OTHER_TEAMS`].
+const TEAM_LABELS_MAX: usize = 100;
+/// Label of the teams beyond [`TEAM_LABELS_MAX`].
+const OTHER_TEAMS: &str = "others";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 9] = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
@@ -20,6 +27,8 @@
     malformed_headers: IntCounterVec,
     input_faults: IntCounterVec,
     panics: IntCounterVec,
+    team_requests: IntCounterVec,
+    team_labels: RefCell<HashSet<TeamName>>,
     notices: IntCounterVec,
     write_timeouts: IntCounterVec,
     held_bytes: IntGaugeVec,
@@ -129,6 +138,13 @@
                 "Panics of this instance, by task",
                 &["task"],
             ),
+            team_requests: counters(
+                &registry,
+                "lacewing_team_requests_total",
+                "Requests of teams with a quota: admitted, beyond the quota, given back",
+                &["team", "outcome"],
+            ),
+            team_labels: RefCell::default(),
             notices: counters(
                 &registry,
                 "lacewing_server_notices_total",
@@ -233,6 +249,15 @@
         self.held_bytes_limit.with_label_values(&[class]).set(value(limit));
     }
 
+    /// Counts a request of a team that has a key, by what its quota decided.
+    pub fn team_request(&self, team: &TeamName, outcome: &str) {
+        let mut labels = self.team_labels.borrow_mut();
+        let is_labelled = labels.contains(team)
+            || (labels.len() < TEAM_LABELS_MAX && labels.insert(team.clone()));
+        let label = if is_labelled { team.as_str() } else { OTHER_TEAMS };
+        self.team_requests.with_label_values(&[label, outcome]).inc();
+    }
+
     /// Counts a panic of a task.
     pub fn panicked(&self, task: &str) {
         self.panics.with_label_values(&[task]).inc();
--- a/crates/gateway/src/peer_port.rs
+++ b/crates/gateway/src/peer_port.rs
@@ -5,6 +5,7 @@
 use crate::heartbeats::apply_heartbeats;
 use crate::limit_reports::apply_limits;
 use crate::peer_link::{CHANGES_PATH, REGISTRATION_PATH};
+use crate::quota_reports::apply_quota_report;
 use crate::registration::enqueue_registration;
 use crate::serve::{CallerResponse, plain_response};
 use crate::state::GatewayState;
@@ -46,6 +47,7 @@
         Ok(PeerDatagram::Relayed(heartbeats)) => apply_heartbeats(state, heartbeats),
         Ok(PeerDatagram::LoadReports(rows)) => apply_load_reports(state, &rows),
         Ok(PeerDatagram::Limits(message)) => apply_limits(state, message),
+        Ok(PeerDatagram::Quotas(message)) => apply_quota_report(state, message),
         Ok(PeerDatagram::Changes(batch)) => {
             if apply_batch(state, batch) {
                 state.sync_wakeup.notify_one();
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -5,6 +5,7 @@
 use crate::slots::advance_queue;
 use crate::state::GatewayState;
 use crate::supervise::{contain, spawn_task};
+use crate::teams::apply_quotas;
 use balance::{BackendState, ReachPlan, ShareClaim};
 use fleet::{MemberRecord, StoreChange, StoreRecord};
 use model::{BackendSpec, InstanceName, ServerKey, StoreRevision};
@@ -163,6 +164,7 @@
         return;
     }
     let detail = format_smolstr!("version {version}, {} routes", table.route_count());
+    apply_quotas(state, state.now(), table.teams.as_ref());
     state.metrics.version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
     let is_first = state.table.replace(Some(Rc::new(table))).is_none();
     let mut fleet = state.fleet();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use model::{ConfigVersion, Millis, MonoTime, ServerKey, ServiceName};
-use routing::{Idempotency, RouteEntry};
+use routing::{Idempotency, RouteEntry, TeamEntry};
 use smol_str::{SmolStr, format_smolstr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +38,10 @@
     pub outbound: OutboundRequest,
     pub route: Rc<RouteEntry>,
     pub service: ServiceName,
+    /// The team of the caller; `None` if the route needs no key.
+    pub team: Option<Rc<TeamEntry>>,
+    /// Priority of the team, or of the route if the team has none.
+    pub priority: u8,
     pub arrived: MonoTime,
     /// Time at which the caller leaves, which may be after the route's timeout.
     pub caller_deadline: MonoTime,
@@ -126,18 +130,25 @@
     }
 }
 
+/// The response to a request that was accepted.
+pub(crate) struct ServedRequest {
+    pub response: CallerResponse,
+    /// Whether a server may have run the request.
+    pub may_have_run: bool,
+}
+
 /// Serves a request and records it in the log and the metrics.
 pub(crate) async fn serve_request(
     state: &Rc<GatewayState>,
     routed: RoutedRequest,
-) -> CallerResponse {
+) -> ServedRequest {
     let now = state.now();
     state.queue().budget(now, &routed.service).record_request(now);
     let mut history = AttemptHistory::default();
     let routed = Rc::new(routed);
     let response = run_attempts(state, &routed, &mut history).await;
     log_request(state, &routed, &history, &response);
-    response
+    ServedRequest { response, may_have_run: history.may_have_run }
 }
 
 fn log_request(
@@ -148,11 +159,12 @@
 ) {
     let elapsed = state.now().since(routed.arrived);
     let status = response.status().as_u16();
-    state.metrics.request(&routed.service, routed.route.priority, status, elapsed);
+    state.metrics.request(&routed.service, routed.priority, status, elapsed);
     state.log.request(&RequestLine {
         request: routed.outbound.request_id.to_str().unwrap_or("-"),
         route: &routed.route.name,
         service: routed.service.as_str(),
+        team: routed.team.as_ref().map(|team| team.name.as_str()),
         status,
         cause: &history.cause,
         attempts: history.attempts,
@@ -189,7 +201,7 @@
     RequestSpec {
         service: routed.service.clone(),
         route: routed.route.name.clone(),
-        priority: routed.route.priority,
+        priority: routed.priority,
         arrived: routed.arrived,
         objective: routed.arrived.plus(routed.route.objective.duration()),
         deadline: routed.outbound.deadline,
@@ -327,6 +339,7 @@
             let is_retryable_failure = response.status().is_server_error()
                 && routed.route.idempotency == Idempotency::Idempotent;
             if !is_retryable_failure {
+                history.may_have_run = true;
                 return Some(forwarded_response(state, response));
             }
             history.cause = format_smolstr!("status {}", response.status().as_u16());
@@ -379,7 +392,7 @@
         return false;
     }
     // The attempt counts as a retry only if the request has already reached a server.
-    let reserve = RetryWindow::reserve_for_priority(routed.route.priority);
+    let reserve = RetryWindow::reserve_for_priority(routed.priority);
     let is_allowed = history.attempts == 0
         || state.queue().budget(now, &routed.service).take_retry(now, reserve);
     if !is_allowed {
--- a/crates/gateway/src/settings_file.rs
+++ b/crates/gateway/src/settings_file.rs
@@ -50,6 +50,8 @@
     pub probes_per_s: f64,
     /// Limits on retries and hedged requests.
     pub budget: BudgetPolicy,
+    /// Sliding window in which a team may send as many requests as its rate gives, and its burst.
+    pub quota_window: Duration,
     /// Whether the whole fleet starts for the first time, so that no earlier process can have used
     /// retries.
     pub is_first_start: bool,
@@ -59,6 +61,9 @@
     pub log_lines_per_s: u32,
 }
 
+/// Shortest window of quotas. In a shorter one the instances can't report their use to each other.
+const QUOTA_WINDOW_MIN: Duration = Duration::from_secs(1);
+
 /// Parses settings. `file` names the file in error messages.
 ///
 /// # Errors
@@ -90,6 +95,7 @@
     let ratio = reader.with_default("retries", "ratio", "a ratio", 0.1_f64);
     let extra = reader.with_default("retries", "extra", "a number", 0.0_f64);
     let window_s = reader.with_default("retries", "window_s", "seconds", 10.0_f64);
+    let quota_window_s = reader.with_default("quotas", "window_s", "seconds", 5.0_f64);
     let is_first_start = reader.with_default("retries", "first_start", "true or false", false);
     let log_lines_per_s = reader.with_default("log", "lines_per_s", "a number", 200);
     let built = (|| {
@@ -113,6 +119,7 @@
             stop_grace: seconds(stop_s),
             probes_per_s,
             budget: BudgetPolicy { ratio, extra, window: seconds(window_s).duration() },
+            quota_window: seconds(quota_window_s).duration().max(QUOTA_WINDOW_MIN),
             is_first_start,
             homes: HomePolicy { homes_min, servers_per_home },
             log_lines_per_s,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,7 +7,8 @@
 use crate::repeat_limit::RepeatLimit;
 use crate::settings_file::GatewaySettings;
 use crate::stop::StopSchedule;
-use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, RequestQueue};
+use crate::teams::TeamTags;
+use balance::{ExpectedFinish, QueueDecision, QueueId, QueuePolicy, QuotaLedger, RequestQueue};
 use fleet::{
     MemberRegistrar, PanicRecord, PauseDetector, PullBackoff, RecordDecoder, SnapshotQuota,
 };
@@ -71,6 +72,9 @@
     input_faults: RefCell<HashMap<&'static str, RepeatLimit>>,
     pub fleet: RefCell<FleetState>,
     pub queue: RefCell<RequestQueue>,
+    /// Quotas of the teams.
+    pub quotas: RefCell<QuotaLedger>,
+    pub team_tags: RefCell<TeamTags>,
     /// Queued requests that wait for a decision.
     pub waiters: RefCell<HashMap<QueueId, oneshot::Sender<QueueDecision>>>,
     /// Wakes the task that advances the queue.
@@ -108,6 +112,8 @@
     pub sync_wakeup: Notify,
     /// Wakes the task that reports limits of servers when the first one is known.
     pub limits_wakeup: Notify,
+    /// Wakes the task that reports the use of quotas when there is one.
+    pub quota_wakeup: Notify,
     /// Wakes the task that sends heartbeats.
     pub heartbeat_wakeup: Notify,
     /// Set to true to make all ports stop accepting and close their connections.
@@ -160,6 +166,8 @@
             input_faults: RefCell::default(),
             fleet: RefCell::new(FleetState::new(&settings, incarnation)),
             queue: RefCell::new(queue),
+            quotas: RefCell::new(QuotaLedger::new(settings.is_first_start)),
+            team_tags: RefCell::default(),
             waiters: RefCell::default(),
             queue_wakeup: Notify::new(),
             splits: RefCell::default(),
@@ -178,6 +186,7 @@
             first_snapshot: Notify::new(),
             sync_wakeup: Notify::new(),
             limits_wakeup: Notify::new(),
+            quota_wakeup: Notify::new(),
             heartbeat_wakeup: Notify::new(),
             closing: tokio::sync::watch::Sender::new(false),
             panics: RefCell::default(),
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -29,6 +29,8 @@
     pub ran: Vec<String>,
     /// Requests that it received, as request line and body.
     pub arrived: Vec<(String, String)>,
+    /// Headers of those requests that name a team or a key, as `name: value`.
+    pub team_headers: Vec<Vec<String>>,
     /// Deadline headers of those requests, in milliseconds; 0 if absent.
     pub deadlines: Vec<u64>,
     /// Number of health checks.
@@ -89,6 +91,7 @@
         let record = BackendRecord {
             ran: Vec::new(),
             arrived: Vec::new(),
+            team_headers: Vec::new(),
             deadlines: Vec::new(),
             checks: 0,
             disconnected: 0,
@@ -206,6 +209,10 @@
         let behaviour = {
             let mut record = self.record.lock().expect("record");
             record.arrived.push((request.line.clone(), request.body.clone()));
+            let is_of_team = |(name, _): &&(String, String)| name == "t-team" || name == "t-key";
+            let headers = request.headers.iter().filter(is_of_team);
+            let headers = headers.map(|(name, value)| format!("{name}: {value}")).collect();
+            record.team_headers.push(headers);
             record.deadlines.push(request.header("t-deadline").parse().unwrap_or(0));
             record.behaviour
         };
--- a/crates/gateway/tests/support/client.rs
+++ b/crates/gateway/tests/support/client.rs
@@ -77,3 +77,12 @@
 pub fn call(address: SocketAddr, method: &str, path: &str, id: &str) -> PlainResponse {
     exchange(&mut connect(address), &request(method, path, id, "body"))
 }
+
+/// Like [`call`] for a booking, with further header lines, each with its line end.
+pub fn call_with_lines(address: SocketAddr, path: &str, id: &str, lines: &str) -> PlainResponse {
+    let bytes = format!(
+        "POST {path} HTTP/1.1\r\nhost: shop.example\r\nt-id: {id}\r\nt-deadline: 2000\r\n{lines}\
+         content-length: 4\r\n\r\nbody"
+    );
+    exchange(&mut connect(address), bytes.as_bytes())
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,7 +20,7 @@
 pub use fleet::{DigestLine, FleetDigest, InstanceRecord, InstanceState, Leaving};
 pub use name::{
     CallerName, ChangeId, DataCentre, InstanceName, ParseNameError, RequestId, RoutePrefix,
-    ServerName, ServiceName,
+    ServerName, ServiceName, TeamName,
 };
 pub use quantity::{
     ByteCount, CallDepth, ConfigVersion, ConnectionCount, HomeCount, IncarnationId, Millis,
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -127,6 +127,10 @@
     /// Name of a data centre.
     DataCentre, check_name
 );
+text_name!(
+    /// Name of a team, whose callers prove by a key that they belong to it.
+    TeamName, check_name
+);
 text_name!(
     /// Name of a caller. Waiting requests are served fairly between callers.
     CallerName, check_name
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,6 +1,7 @@
 //! The route table of a configuration version.
 
-use model::{ConfigVersion, ConnectionCount, Millis, ServiceName};
+use crate::team::TeamTable;
+use model::{ConfigVersion, ConnectionCount, Millis, RequestRate, ServiceName};
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -42,6 +43,8 @@
     pub priority: u8,
     /// Largest number of backend servers that one request may be sent to; at least one.
     pub attempts: u32,
+    /// Whether callers need no key, also if the configuration has teams.
+    pub is_public: bool,
 }
 
 /// Builds a [`RouteEntry`].
@@ -64,6 +67,7 @@
                 objective: Millis(1_000),
                 priority: 0,
                 attempts: 1,
+                is_public: false,
             },
         }
     }
@@ -93,6 +97,12 @@
         self
     }
 
+    /// Sets whether callers need no key.
+    pub fn public(mut self, is_public: bool) -> Self {
+        self.route.is_public = is_public;
+        self
+    }
+
     /// Returns the route.
     pub fn build(self) -> RouteEntry {
         self.route
@@ -112,13 +122,24 @@
     pub idle_timeout: Millis,
 }
 
+/// How a service's backend servers may be used while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmUpLimit {
+    /// Time for which a server is cold after its start.
+    pub period: Millis,
+    /// Rate of requests that a cold server accepts from all instances together.
+    pub rate: RequestRate,
+}
+
 /// The configuration of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceEntry {
     /// Path of the HTTP health check on each backend server.
     pub health_path: SmolStr,
     /// Number of connections that one backend server accepts in total.
     pub connections: ConnectionCount,
+    /// Limit for cold servers; `None` if they may be used like others.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 type HostRoutes = HashMap<SmolStr, Rc<RouteEntry>>;
@@ -132,6 +153,8 @@
     pub limits: RequestLimits,
     /// Configuration of each service.
     pub services: HashMap<ServiceName, ServiceEntry>,
+    /// The teams; `None` if callers need no keys on any route.
+    pub teams: Option<TeamTable>,
     /// Routes by prefix, by lower-case host name without port.
     hosts: HashMap<SmolStr, HostRoutes>,
 }
@@ -146,7 +169,7 @@
     /// Starts a table without routes and services.
     pub fn new(version: ConfigVersion, limits: RequestLimits) -> Self {
         let (services, hosts) = (HashMap::new(), HashMap::new());
-        Self { table: RouteTable { version, limits, services, hosts } }
+        Self { table: RouteTable { version, limits, services, teams: None, hosts } }
     }
 
     /// Adds a service, or replaces the one of the same name.
@@ -168,6 +191,12 @@
         self
     }
 
+    /// Sets the teams, whose keys callers then need on all routes that are not public.
+    pub fn teams(mut self, teams: TeamTable) -> Self {
+        self.table.teams = Some(teams);
+        self
+    }
+
     /// Returns the table.
     pub fn build(self) -> RouteTable {
         self.table
