--- a/crates/gateway/tests/teams.rs
+++ b/crates/gateway/tests/teams.rs
@@ -61,6 +61,15 @@
     caller_hides_the_key_from_the_connection: ("connection: t-team\r\nt-key: blue-1\r\n", "blue");
 } }
 
+#[test]
+fn on_a_public_route_a_caller_names_no_team() {
+    let (_store, server, instance) = start_with_config(CONFIG);
+    let lines = "t-team: red\r\nt-key: red-1\r\n";
+    assert_eq!(call_with_lines(instance.callers, "/open/ok/", "id-0", lines).status, 200);
+    assert_eq!(server.record.lock().expect("record").team_headers, [Vec::<String>::new()]);
+    instance.close();
+}
+
 #[test]
 fn without_teams_the_headers_are_those_of_the_caller() {
     let (_store, server, instance) = start_with_config("1");
