--- /dev/null
+++ b/review/stand-3/main.rs
@@ -0,0 +1,18 @@
+//! Stand-ins and scenarios of the third review. Standard library only.
+
+mod backend;
+mod caller;
+mod fleet;
+mod json;
+mod record;
+mod scenario;
+mod store;
+mod wire;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let name = arguments.next().unwrap_or_default();
+    let folder = arguments.next().unwrap_or_else(|| ".".into());
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    std::process::exit(scenario::run(&name, &folder, trouble));
+}
