--- a/review/stand-3/backend.rs
+++ b/review/stand-3/backend.rs
@@ -32,6 +32,8 @@
     pub answer_bytes: usize,
     /// Status of the answer to a request that it ran, for each this many requests; 200 for the others.
     pub failures: Option<(u16, usize)>,
+    /// One in this many of its answers is broken off in its head, and a second copy of an earlier answer follows.
+    pub spoiled: Option<usize>,
 }
 
 struct Inner {
@@ -40,6 +42,7 @@
     runs: Mutex<Vec<Run>>,
     busy: AtomicUsize,
     ended: AtomicUsize,
+    spoiled: AtomicUsize,
 }
 
 /// A running upstream. Clones share it.
@@ -60,6 +63,7 @@
             runs: Mutex::default(),
             busy: AtomicUsize::new(0),
             ended: AtomicUsize::new(0),
+            spoiled: AtomicUsize::new(0),
         };
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let born = since.map(|since| since.as_millis()).unwrap_or(1);
@@ -110,14 +114,48 @@
     }
 
     fn serve(&self, mut connection: Connection) {
+        // The answer to the status check before this request, of which a second copy may follow.
+        let mut checked: Option<Vec<u8>> = None;
         while let Ok(request) = connection.read(Instant::now() + Duration::from_secs(10), false) {
-            let answer = self.answer(&request);
+            let mut answer = self.answer(&request);
+            if request.path() == "/healthz" {
+                checked = Some(answer.clone());
+            } else if let Some(copy) = checked.take()
+                && self.is_spoiled_now()
+            {
+                answer = self.spoil(&answer, &copy);
+            }
             if connection.write(&answer).is_err() {
                 return;
             }
         }
     }
 
+    fn is_spoiled_now(&self) -> bool {
+        let Some(each) = self.inner.setup.spoiled else {
+            return false;
+        };
+        // At most one in `each` of all answers so far.
+        let ended = self.inner.ended.load(Ordering::Relaxed);
+        let spoiled = self.inner.spoiled.load(Ordering::Relaxed);
+        let is_due = ended >= each * (spoiled + 1);
+        if is_due {
+            self.inner.spoiled.fetch_add(1, Ordering::Relaxed);
+        }
+        is_due
+    }
+
+    /// Breaks an answer off within the value of its load header and adds the second copy of another one.
+    fn spoil(&self, answer: &[u8], copy: &[u8]) -> Vec<u8> {
+        let text = String::from_utf8_lossy(answer);
+        let Some(at) = text.find("Server-Load: ") else {
+            return answer.to_vec();
+        };
+        let id = text.lines().find_map(|line| line.strip_prefix("X-Lacewingshelf-Request-Id: "));
+        self.inner.record.line(format!("answer to {} broken off at {}", id.unwrap_or("-"), self.id()));
+        [&answer[..at + "Server-Load: 1,0".len()], copy].concat()
+    }
+
     fn answer(&self, request: &Message) -> Vec<u8> {
         let setup = &self.inner.setup;
         let own_id = ("X-Lacewingshelf-Instance-Id", setup.id.clone());
--- a/review/stand-3/scenario.rs
+++ b/review/stand-3/scenario.rs
@@ -18,6 +18,7 @@
     record.say(format!("case {name}, {}", if trouble { "with the disruption" } else { "without" }));
     let code = match name {
         "lost-entry" => lost_entry(&record, trouble),
+        "broken-head" => broken_head(&record, trouble),
         "failed-work" => failed_work(&record, trouble),
         _ => {
             record.say("no such case");
@@ -70,6 +71,7 @@
                 work,
                 answer_bytes: 400,
                 failures: None,
+                spoiled: None,
             };
             let backend = Backend::start(setup, record);
             backend.register(store, "ready");
@@ -175,6 +177,7 @@
                 // At most 15 in 100 of the upstreams fail 40 in 100 of their requests: here one of eight
                 // fails one in three.
                 failures: (trouble && number == 0).then_some((503, 3)),
+                spoiled: None,
             };
             let backend = Backend::start(setup, record);
             backend.register(&store, "ready");
@@ -230,3 +233,77 @@
     record.say(format!("{} bookings were answered as not run and have run", refused_and_run.len()));
     if refused_and_run.is_empty() { HELD } else { BROKEN }
 }
+
+/// Half of the upstreams break one in fifty of their answers off, within the head, and send a second copy of
+/// the answer to an earlier status check after it. No client may get a success with another body than that of
+/// its answer.
+fn broken_head(record: &Record, trouble: bool) -> i32 {
+    let store = Store::start();
+    let zones = ["a", "b", "c", "d"];
+    let _backends: Vec<Backend> = (0..8)
+        .map(|number| {
+            let setup = Setup {
+                id: format!("i-{number:08x}"),
+                service: "taller".into(),
+                zone: format!("gt-central-{}", zones[number % zones.len()]),
+                work: seconds(0.03),
+                answer_bytes: 400,
+                failures: None,
+                spoiled: (trouble && number % 2 == 0).then_some(50),
+            };
+            let backend = Backend::start(setup, record);
+            backend.register(&store, "ready");
+            backend
+        })
+        .collect();
+    store.put("op/config", Some(&config(1, 1.2)));
+    let names: Vec<(String, String)> = machines().into_iter().filter(|(n, _)| n.ends_with("-1")).collect();
+    let fleet = Fleet::start(&names, store.address, record);
+    if !fleet.wait_ready(seconds(20.0)) {
+        record.say("not all gateways became ready");
+        return NOT_RUN;
+    }
+    let world = World {
+        host: "shop.example".into(),
+        directories: fleet.gateways.iter().map(|gateway| gateway.addresses.directory).collect(),
+        attempts: Attempts::default(),
+        record: record.clone(),
+        stop: Arc::new(AtomicBool::new(false)),
+    };
+    let body = vec![b'b'; 4_000];
+    let clients = start_clients(&world, 24, "POST", "/book/1", body, seconds(3.0), seconds(0.05));
+    std::thread::sleep(seconds(25.0));
+    world.stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let attempts = world.attempts.all();
+    let mut counts: std::collections::BTreeMap<u16, usize> = Default::default();
+    let mut mixed = 0;
+    for attempt in &attempts {
+        let End::Answered { status, signature, body } = &attempt.end else {
+            continue;
+        };
+        *counts.entry(*status).or_default() += 1;
+        let server = signature.as_deref().and_then(|text| text.split('.').next()).unwrap_or("");
+        let mut whole = format!("{server}:{}:", attempt.id).into_bytes();
+        whole.resize(400, b'.');
+        if (200..300).contains(status) && (signature.is_none() || *body != whole) {
+            mixed += 1;
+            if mixed <= 3 {
+                record.say(format!(
+                    "booking {} was answered {status} with {signature:?} and a body of {} bytes in place of 400",
+                    attempt.id,
+                    body.len()
+                ));
+            }
+        }
+    }
+    record.say(format!("{} bookings sent, answers {counts:?}", attempts.len()));
+    if attempts.len() < 1_000 {
+        record.say("too few bookings");
+        return NOT_RUN;
+    }
+    record.say(format!("{mixed} successes with a body that isn't the upstream's"));
+    if mixed == 0 { HELD } else { BROKEN }
+}
