--- a/review/stand-3/backend.rs
+++ b/review/stand-3/backend.rs
@@ -17,9 +17,6 @@
 pub struct Run {
     pub at: Instant,
     pub id: String,
-    pub method: String,
-    pub target: String,
-    pub body: Vec<u8>,
 }
 
 /// How an upstream is set up.
@@ -178,14 +175,7 @@
             self.inner.busy.fetch_sub(1, Ordering::Relaxed);
             return response(503, &[echo, not_executed], b"");
         }
-        let run = Run {
-            at: Instant::now(),
-            id: id.clone(),
-            method: request.method().to_owned(),
-            target: request.target().to_owned(),
-            body: request.body.clone(),
-        };
-        self.inner.runs.lock().unwrap().push(run);
+        self.inner.runs.lock().unwrap().push(Run { at: Instant::now(), id: id.clone() });
         self.inner.record.line(format!("run {id} at {}", setup.id));
         std::thread::sleep(setup.work);
         self.inner.busy.fetch_sub(1, Ordering::Relaxed);
--- a/review/stand-3/caller.rs
+++ b/review/stand-3/caller.rs
@@ -27,9 +27,6 @@
 pub struct Attempt {
     pub id: String,
     pub sent: Instant,
-    pub ended: Instant,
-    pub node: SocketAddr,
-    pub target: String,
     pub end: End,
 }
 
@@ -166,7 +163,7 @@
     }
 
     /// Sends one request, on the open connection or on a new one.
-    pub fn send(&mut self, method: &str, target: &str, body: &[u8], budget: Duration) -> Attempt {
+    pub fn send(&mut self, method: &str, target: &str, body: &[u8], budget: Duration) {
         if Instant::now() >= self.known_until {
             self.look_up();
         }
@@ -174,19 +171,17 @@
         let sent = Instant::now();
         let mut node = SocketAddr::from(([127, 0, 0, 1], 0));
         let end = self.attempt(method, target, body, budget, &id, &mut node);
-        let attempt =
-            Attempt { id, sent, ended: Instant::now(), node, target: target.to_owned(), end };
+        let attempt = Attempt { id, sent, end };
         let shown = match &attempt.end {
             End::Answered { status, .. } => status.to_string(),
             other => format!("{other:?}"),
         };
-        let took = attempt.ended.duration_since(attempt.sent).as_millis();
+        let took = sent.elapsed().as_millis();
         self.world.record.line(format!(
             "sent {} {method} {target} to {node}, {took} ms ago: {shown}",
             attempt.id
         ));
-        self.world.attempts.push(attempt.clone());
-        attempt
+        self.world.attempts.push(attempt);
     }
 
     fn attempt(
@@ -254,9 +249,7 @@
                 let mut client = Client::new(&world, number + 1);
                 std::thread::sleep(gap.mul_f64(number as f64 / count as f64));
                 while !world.stop.load(Ordering::Relaxed) {
-                    let attempt = client.send(method, target, &body, budget);
-                    // As a refusal asks, or after the usual pause.
-                    let _ = attempt;
+                    client.send(method, target, &body, budget);
                     std::thread::sleep(gap);
                 }
             })
--- a/review/stand-3/fleet.rs
+++ b/review/stand-3/fleet.rs
@@ -54,11 +54,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 impl Gateway {
     /// Sends a signal to the process that this run started.
@@ -69,22 +65,6 @@
         }
     }
 
-    /// Waits for the end of the process. Returns whether it ended in time.
-    pub fn wait_end(&mut self, limit: Duration) -> bool {
-        let until = Instant::now() + limit;
-        while let Some(child) = &mut self.child {
-            if matches!(child.try_wait(), Ok(Some(_))) {
-                self.child = None;
-                return true;
-            }
-            if Instant::now() > until {
-                return false;
-            }
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        true
-    }
-
     pub fn is_running(&mut self) -> bool {
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
@@ -102,10 +82,6 @@
         self.child = Some(child);
     }
 
-    pub fn process_id(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     pub fn is_ready(&self) -> bool {
         get(self.addresses.ready, "/readyz", Duration::from_millis(500))
             .is_some_and(|(status, _)| status == 200)
--- a/review/stand-3/record.rs
+++ b/review/stand-3/record.rs
@@ -18,11 +18,6 @@
         Self(Arc::new(Mutex::new(Lines { started: Instant::now(), lines: Vec::new() })))
     }
 
-    /// Seconds since the start of the run.
-    pub fn seconds(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.0.lock().unwrap().started).as_secs_f64()
-    }
-
     pub fn line(&self, text: impl AsRef<str>) {
         let mut lines = self.0.lock().unwrap();
         let at = lines.started.elapsed().as_secs_f64();
--- a/review/stand-3/scenario.rs
+++ b/review/stand-3/scenario.rs
@@ -104,8 +104,6 @@
         start_clients(&world, 40, "GET", "/look/1", Vec::new(), seconds(2.5), seconds(0.25));
     std::thread::sleep(seconds(8.0));
     let killed_at = Instant::now();
-    let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
-    record.line(format!("the clock shows {:.3}", wall.as_secs_f64()));
     if trouble {
         for gateway in fleet.gateways.iter().filter(|g| !survivors.contains(&g.name.as_str())) {
             gateway.signal(SIGKILL);
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -35,9 +35,6 @@
     leases: HashMap<u64, (Instant, Duration)>,
     last_lease: u64,
     era: u32,
-    is_down: bool,
-    /// Requests by path, for the record.
-    calls: HashMap<String, u64>,
 }
 
 /// A running store. Clones share it.
@@ -113,8 +110,6 @@
             leases: HashMap::new(),
             last_lease: 1_000,
             era: 0,
-            is_down: false,
-            calls: HashMap::new(),
         };
         let store = Self { state: Arc::new((Mutex::new(state), Condvar::new())), address };
         let shared = store.clone();
@@ -142,14 +137,7 @@
     }
 
     fn answer(&self, request: &Message) -> (u16, String) {
-        {
-            let mut state = self.state.0.lock().unwrap();
-            if state.is_down {
-                return (503, "{}".into());
-            }
-            *state.calls.entry(request.path().to_owned()).or_default() += 1;
-            state.end_leases();
-        }
+        self.state.0.lock().unwrap().end_leases();
         match (request.method(), request.path()) {
             ("GET", "/kv-range") => self.range(request),
             ("GET", "/kv-key") => self.key(request),
@@ -204,9 +192,6 @@
             if after < state.log_after || after > state.revision || state.era != era {
                 return (410, "{}".into());
             }
-            if state.is_down {
-                return (503, "{}".into());
-            }
             let events: Vec<String> = state
                 .log
                 .iter()
@@ -317,22 +302,4 @@
         self.state.1.notify_all();
         Instant::now()
     }
-
-    pub fn has(&self, key: &str) -> bool {
-        self.state.0.lock().unwrap().items.contains_key(key)
-    }
-
-    pub fn count(&self, prefix: &str) -> usize {
-        self.state.0.lock().unwrap().items.keys().filter(|key| key.starts_with(prefix)).count()
-    }
-
-    /// Number of calls to a path so far.
-    pub fn calls(&self, path: &str) -> u64 {
-        self.state.0.lock().unwrap().calls.get(path).copied().unwrap_or(0)
-    }
-
-    pub fn set_down(&self, is_down: bool) {
-        self.state.0.lock().unwrap().is_down = is_down;
-        self.state.1.notify_all();
-    }
 }
--- a/review/stand-3/wire.rs
+++ b/review/stand-3/wire.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Reads a whole message. `has_body` is false for a response without a body.
+    /// Reads a whole message. A response without a length ends with its connection.
     pub fn read(&mut self, until: Instant, is_response: bool) -> Result<Message, ReadFailure> {
         let end = loop {
             if let Some(end) = self.ahead.windows(4).position(|window| window == b"\r\n\r\n") {
@@ -195,11 +195,6 @@
     pub fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.stream.write_all(bytes)
     }
-
-    /// Whether bytes arrived that no message has taken.
-    pub fn has_more(&self) -> bool {
-        !self.ahead.is_empty()
-    }
 }
 
 /// Builds a response with a length.
