Gateway: a server's failure with a status of refusals is not passed on

Callers saw 503 for bookings that had run: a server ran the booking and failed it with 503, without its mark for not run. To a caller 503 says that the booking has not run and never will, so it books again.

Cause: the status of a server's response was passed on as it came; the promise was checked for the gateway's own responses only. 408 and 429 took the same way, and so did the failure that is kept while a lookup is sent again.

Why it works: a response with one of these statuses and without the mark ends its exchange as one that may have run, where the response is classified. A response that is passed on can have none of them, whichever way it takes to the caller.

The soak's servers fail with 500, 503, 429 or 408.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,6 +29,14 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Statuses by which a caller knows that its request did not run and never will.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A caller's request in the form that is forwarded to backend servers.
 #[derive(Debug, Clone)]
 pub(crate) struct OutboundRequest {
@@ -50,7 +58,8 @@
 /// Result of an exchange.
 #[derive(Debug)]
 pub(crate) enum ExchangeEnd {
-    /// The intended server sent a complete response to this request.
+    /// The intended server sent a complete response to this request, with none of the
+    /// [`NOT_RUN_STATUSES`].
     Answered(Response<Bytes>),
     /// The server did not run the request and never will.
     NotRun {
@@ -176,9 +185,16 @@
         guard.close(ExchangeOutcome::Broken);
         return ExchangeEnd::MayHaveRun("success without signature".into());
     }
-    let outcome =
-        if status.is_server_error() { ExchangeOutcome::Failed } else { ExchangeOutcome::Answered };
-    state.metrics.exchange(if status.is_server_error() { "failed" } else { "answered" });
+    // Without the mark a server that ran the request may have sent it.
+    let is_unmarked = NOT_RUN_STATUSES.contains(&status);
+    let (label, outcome) = if is_unmarked {
+        ("unmarked", ExchangeOutcome::Failed)
+    } else if status.is_server_error() {
+        ("failed", ExchangeOutcome::Failed)
+    } else {
+        ("answered", ExchangeOutcome::Answered)
+    };
+    state.metrics.exchange(label);
     let placement = guard.placement().clone();
     let bytes = outbound.body.len() + response.body().len();
     state.queue().outflow.record_bytes(&outbound.route, bytes);
@@ -200,6 +216,12 @@
             });
         }
     }
+    if is_unmarked {
+        return ExchangeEnd::MayHaveRun(format_smolstr!(
+            "status {} without the mark for not run",
+            status.as_u16()
+        ));
+    }
     ExchangeEnd::Answered(response)
 }
 
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -89,6 +89,11 @@
         let found = self.headers.iter().find(|(known, _)| known == name);
         found.map(|(_, value)| value.clone()).unwrap_or_default()
     }
+
+    /// Whether the step says that the response comes before the body is read: `early-` and another step.
+    fn is_answered_early(&self) -> bool {
+        self.line.contains("/early-")
+    }
 }
 
 impl ScriptedBackend {
@@ -203,6 +208,10 @@
             if !self.respond(&mut stream, &request)? {
                 return Ok(());
             }
+            if request.is_answered_early() {
+                std::thread::sleep(LATE_COPY_GAP);
+                read_body(&mut reader, &request)?;
+            }
         }
         Ok(())
     }
@@ -246,6 +255,7 @@
         };
         let path = request.line.split(' ').nth(1).unwrap_or_default();
         let step = path.split('/').nth(2).unwrap_or_default();
+        let step = step.strip_prefix("early-").unwrap_or(step);
         if let Some(millis) = step.strip_prefix("shed-after-") {
             std::thread::sleep(Duration::from_millis(millis.parse().unwrap_or(0)));
         }
@@ -447,9 +457,18 @@
     }
     let mut request =
         InboundRequest { line: line.trim_end().to_owned(), headers, body: String::new() };
+    if !request.is_answered_early() {
+        request.body = read_body(reader, &request)?;
+    }
+    Ok(Some(request))
+}
+
+fn read_body(
+    reader: &mut BufReader<TcpStream>,
+    request: &InboundRequest,
+) -> std::io::Result<String> {
     let length = request.header("content-length").parse().unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body)?;
-    request.body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Some(request))
+    Ok(String::from_utf8_lossy(&body).into_owned())
 }
--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -34,6 +34,14 @@
 /// Time for which a server that refuses a request wants no others.
 pub const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Statuses of servers that fail a request after they ran it. Those of refusals lack the mark of one.
+const FAILURE_STATUSES: [StatusCode; 4] = [
+    StatusCode::INTERNAL_SERVER_ERROR,
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::REQUEST_TIMEOUT,
+];
+
 /// How a server behaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerFault {
@@ -43,7 +51,7 @@
     Slow,
     /// Sheds half of the requests.
     Shed,
-    /// Runs requests and responds with status 500 to half of them.
+    /// Runs requests and responds to half of them with one of [`FAILURE_STATUSES`].
     Fail,
     /// Runs requests and ends the connection in the middle of half of the responses.
     Cut,
@@ -261,8 +269,8 @@
     tokio::time::sleep(processing_time).await;
     drop(guard);
     if fault == ServerFault::Fail as u8 && rand::rng().random_bool(0.5) {
-        return (StatusCode::INTERNAL_SERVER_ERROR, [(names.signature.clone(), "s")])
-            .into_response();
+        let status = FAILURE_STATUSES[rand::rng().random_range(0..FAILURE_STATUSES.len())];
+        return (status, [(names.signature.clone(), "s")]).into_response();
     }
     let body = if fault == ServerFault::Cut as u8 && rand::rng().random_bool(0.5) {
         let cut = Err::<String, _>(std::io::Error::other("cut"));
