Fleet: silence of the instances is no outage of the store

Callers saw nothing; a server that the store had removed got requests until 3.0 s after the removal, and may have been gone by then (2 s are allowed).

Cause: 2 s without a confirmation by the store counted as its outage, in which records of live servers expire. After a loss of all instances that watch the store nobody had asked it. The server then stayed in use for 1.8 s from when its removal was learned, which the same silence had made late.

Why it works: an outage now needs a failed call since the last confirmation, own or reported by a watcher. Its end, and the return of a store from an older copy, count from the last contact with the store instead of from when they were learned, so the servers are given up in time however long the fleet was silent.

New: server_vanished in the log, lacewing_vanished_servers_total.

--- a/crates/fleet/src/store_contact.rs
+++ b/crates/fleet/src/store_contact.rs
@@ -13,6 +13,9 @@
 /// Shortest time without a confirmation after which records may have expired though their owners
 /// live. Owners write every 1.5 s and a record expires after 4.5 s, so a shorter outage harms none.
 const OUTAGE_MIN: Duration = Duration::from_secs(2);
+/// Longest time in which the instances that call a failing store notice that it serves again: the longest
+/// delay between two calls, and the second one. Beyond that nobody called it.
+const NOTICE_MAX: Duration = Duration::from_millis(1_200);
 
 /// How a call to the store failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,36 +65,60 @@
     }
 }
 
-/// When the store confirmed the replica, to this instance or to one that reported it.
+/// When the store confirmed the replica and when calls to it failed, at this instance or at one that reported
+/// it. The store fails if calls fail; without calls nothing is known of it.
 #[derive(Debug, Clone, Default)]
 pub struct ConfirmationRecord {
     confirmed_at: Option<MonoTime>,
-    /// When the first confirmation after an outage arrived.
+    /// When a call last failed.
+    failed_at: Option<MonoTime>,
+    /// When the latest outage ended, by the first confirmation after it.
     regained_at: Option<MonoTime>,
 }
 
 impl ConfirmationRecord {
+    /// Records that a call to the store failed at the time `at`.
+    pub fn record_failure(&mut self, at: MonoTime) {
+        self.failed_at = self.failed_at.max(Some(at));
+    }
+
     /// Records a confirmation of the time `at`, which arrived at `now`.
     pub fn record(&mut self, now: MonoTime, at: MonoTime) {
         let Some(earlier) = self.confirmed_at else {
             self.confirmed_at = Some(at);
             return;
         };
-        if at.since(earlier) >= OUTAGE_MIN {
-            self.regained_at = Some(now);
+        if at.since(earlier) >= OUTAGE_MIN && self.has_failed_since(earlier) {
+            self.regained_at = Some(self.returned_at(now));
         }
         self.confirmed_at = Some(earlier.max(at));
     }
 
+    fn has_failed_since(&self, confirmed_at: MonoTime) -> bool {
+        self.failed_at.is_some_and(|at| at > confirmed_at)
+    }
+
     /// Time of the latest confirmation.
     pub fn confirmed_at(&self) -> Option<MonoTime> {
         self.confirmed_at
     }
 
-    /// Whether a record that vanishes now may have expired during an outage of the store that ended at
-    /// most `period` ago, or that lasts.
-    pub fn may_follow_outage(&self, now: MonoTime, period: Duration) -> bool {
-        let lasts = self.confirmed_at.is_some_and(|at| now.since(at) >= OUTAGE_MIN);
-        lasts || self.regained_at.is_some_and(|at| now.since(at) < period)
+    /// When a store that has been found at `now` to serve again did so, at the latest: soon after the
+    /// last contact, unless nobody called it then.
+    pub fn returned_at(&self, now: MonoTime) -> MonoTime {
+        let contact = self.confirmed_at.max(self.failed_at);
+        contact.map_or(now, |at| now.min(at.plus(NOTICE_MAX)))
+    }
+
+    /// Until when the owner of a record that vanishes now may live, if the record may have expired during
+    /// an outage of the store. Owners write it again within `period` after the outage.
+    pub fn may_live_until(&self, now: MonoTime, period: Duration) -> Option<MonoTime> {
+        let lasts = self
+            .confirmed_at
+            .is_some_and(|at| now.since(at) >= OUTAGE_MIN && self.has_failed_since(at));
+        if lasts {
+            return Some(now.plus(period));
+        }
+        self.regained_at.map(|at| at.plus(period)).filter(|until| now < *until)
     }
 }
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -110,7 +110,9 @@
     gone: HashMap<ServerKey, MonoTime>,
     /// Era of the store in the replica; `None` before the first snapshot.
     era: Option<StoreEra>,
-    /// When the replica reached the present era, if the store came back older in this run.
+    /// The latest era of the store that was noticed; the records of an earlier one may still be in use.
+    noticed_era: Option<StoreEra>,
+    /// When the store came back older, if it did so in this run.
     returned_at: Option<MonoTime>,
     survey: FleetSurvey,
     /// Since when another instance has been ahead of the replica.
@@ -142,6 +144,7 @@
             vanished: HashMap::new(),
             gone: HashMap::new(),
             era: None,
+            noticed_era: None,
             returned_at: None,
             survey: FleetSurvey::default(),
             behind_since: None,
@@ -306,23 +309,35 @@
         self.confirmed_at().map_or(Duration::MAX, |at| now.since(at))
     }
 
-    /// Whether a record that vanishes now may belong to a live owner: it expired during an outage of the
-    /// store that ended at most `period` ago, or that lasts, or the store came back older.
-    pub fn may_follow_outage(&self, now: MonoTime, period: Duration) -> bool {
-        let has_returned = self.returned_at.is_some_and(|at| now.since(at) < period);
-        has_returned || self.confirmations.may_follow_outage(now, period)
+    /// Until when the owner of a record that vanishes now may live: the record expired during an outage of
+    /// the store, or the store came back older, and the owner writes it again within `period`. `None` if
+    /// the owner is gone.
+    pub fn may_live_until(&self, now: MonoTime, period: Duration) -> Option<MonoTime> {
+        let after_return = self.returned_at.map(|at| at.plus(period)).filter(|until| now < *until);
+        after_return.max(self.confirmations.may_live_until(now, period))
+    }
+
+    /// Records that a call to the store failed, at this instance or at one that reported it.
+    pub fn record_store_failure(&mut self, at: MonoTime) {
+        self.confirmations.record_failure(at);
+    }
+
+    /// Notices a new era of the store. Must come before a confirmation in it is recorded, since the store
+    /// came back after the last contact in the era before.
+    fn notice_era(&mut self, now: MonoTime) {
+        let era = self.replica.as_of().era();
+        if self.noticed_era.is_some_and(|earlier| earlier < era) {
+            self.returned_at = Some(self.confirmations.returned_at(now));
+        }
+        self.noticed_era = Some(era);
     }
 
     /// Records the era of the replica. Returns whether the store came back from an older copy: the changes
     /// that led to this era undo what was written since the copy.
     pub fn record_era(&mut self, now: MonoTime) -> bool {
-        let era = self.replica.as_of().era();
-        let has_returned = self.era.is_some_and(|earlier| earlier < era);
-        self.era = Some(era);
-        if has_returned {
-            self.returned_at = Some(now);
-        }
-        has_returned
+        self.notice_era(now);
+        let earlier = self.era.replace(self.replica.as_of().era());
+        earlier < self.era && earlier.is_some()
     }
 
     /// Records that a server was removed.
@@ -347,6 +362,7 @@
         if as_of != self.replica.as_of() {
             return;
         }
+        self.notice_era(now);
         self.confirmations.record(now, now.before(age));
         let is_since_start = age < now.since(MonoTime(0));
         self.is_confirmed_since_start |= is_since_start && as_of != StoreRevision(0);
@@ -367,7 +383,7 @@
             incarnation: this.incarnation,
             record: with_record.then(|| this.clone()),
             is_ready: self.members.is_ready(),
-            store_lost: self.store_lost,
+            store_lost: self.store_lost && self.is_watching,
             as_of: self.replica.as_of(),
             confirmed_age: self.confirmed_age(now).into(),
             version: self.version,
--- a/crates/gateway/src/heartbeats.rs
+++ b/crates/gateway/src/heartbeats.rs
@@ -78,6 +78,9 @@
     let mut newest = fleet.replica.as_of();
     for heard in heartbeats {
         let (as_of, confirmed_age) = (heard.heartbeat.as_of, heard.heartbeat.confirmed_age);
+        if heard.heartbeat.store_lost {
+            fleet.record_store_failure(now.before(heard.age.duration()));
+        }
         fleet.confirm(now, as_of, confirmed_age.duration() + heard.age.duration());
         newest = newest.max(as_of);
         is_new |= fleet.members.record_heard(now, heard);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub members: IntGauge,
     /// Backend servers with a record in the store, and those kept after their record vanished.
     pub servers: IntGauge,
+    /// Servers that stayed in use for a time after their record vanished.
+    pub vanished_servers: IntCounter,
     /// Backend servers that limit the rate of their requests.
     pub limited_servers: IntGauge,
     /// Backend servers that are cold, or may be, and accept a limited rate.
@@ -229,6 +231,11 @@
             ),
             members: gauge(&registry, "lacewing_members", "Known instances"),
             servers: gauge(&registry, "lacewing_servers", "Known backend servers"),
+            vanished_servers: counter(
+                &registry,
+                "lacewing_vanished_servers_total",
+                "Servers kept for a time after their record vanished around an outage of the store",
+            ),
             limited_servers: gauge(
                 &registry,
                 "lacewing_limited_servers",
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -220,25 +220,29 @@
 }
 
 /// Stops using a server whose record is gone. If it vanished around an outage of the store, the server
-/// stays in use for [`VANISHED_TTL`]: live servers announce themselves again within that time, which
-/// counts from when the record vanished, however long the store keeps failing.
+/// stays in use as long as it may live: live servers announce themselves again within [`VANISHED_TTL`]
+/// after the outage, or after their records vanished, however long the store keeps failing.
 fn withdraw_server(state: &Rc<GatewayState>, key: ServerKey, is_replaced: bool) {
     let now = state.now();
     let is_eligible = state.queue().estimates.server(&key).is_some_and(BackendState::is_eligible);
     let mut fleet = state.fleet();
     // While the store works, a record vanishes only when its server is gone.
-    let may_have_expired = fleet.may_follow_outage(now, VANISHED_TTL);
-    if !is_eligible || !may_have_expired || is_replaced {
+    let until = fleet.may_live_until(now, VANISHED_TTL).filter(|_| is_eligible && !is_replaced);
+    let Some(until) = until else {
         fleet.record_gone(now, key.clone());
         drop(fleet);
         state.queue().estimates.remove_server(&key);
         return;
-    }
+    };
     fleet.vanished.insert(key.clone(), now);
     drop(fleet);
+    let period = until.since(now);
+    let detail = format_smolstr!("{}, used for {} ms more", key.name, period.as_millis());
+    state.log.state("server_vanished", &detail);
+    state.metrics.vanished_servers.inc();
     let shared = Rc::clone(state);
     let removal = async move {
-        tokio::time::sleep(VANISHED_TTL).await;
+        tokio::time::sleep(period).await;
         let since = shared.fleet_ref().vanished.get(&key).copied();
         if since == Some(now) {
             let mut fleet = shared.fleet();
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -240,7 +240,9 @@
     let mut fleet = state.fleet();
     let was_lost = std::mem::replace(&mut fleet.store_lost, !is_available);
     if !is_available {
-        fleet.store_failed_at = Some(state.now());
+        let now = state.now();
+        fleet.store_failed_at = Some(now);
+        fleet.record_store_failure(now);
     }
     drop(fleet);
     if was_lost == is_available {
