Fleet: instances watch the store soon after all watchers were lost

After a loss of all watchers the last instance in rank could learn of a change up to 3.8 s late; changes must be in force after 2 s.

Cause: the wait before an instance takes over the watch grows by 0.15 s for each instance before it, and those may be lost as well.

Why it works: if no watcher was heard lately, the waits differ by 20 ms and by 0.3 s at most, so all instances know 1.7 s after the loss what the store accepted.

The flag all_lost of the tests becomes WatcherContact; each case keeps its result.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,4 +34,4 @@
 pub use replica::{ReplicaGap, StoreChange, StoreReplica, StoreSnapshot};
 pub use reply_codec::{ReplyEncoding, ReplyError};
 pub use store_contact::{CallFailure, ConfirmationRecord, StoreRetry};
-pub use watch::{WatchDuty, WatchInputs, watch_duty};
+pub use watch::{WatchDuty, WatchInputs, WatcherContact, watch_duty};
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -7,6 +7,11 @@
 /// Age of the newest confirmation beyond which other instances than the regular watchers start to
 /// watch. It is longer than a watch of an idle store takes to return.
 const CONFIRMATION_AGE_MAX: Duration = Duration::from_millis(1_300);
+/// Delay between two adjacent instances while no watcher is heard, and the longest total delay then. The
+/// store's changes must be in force 2 s after it accepted them, of which the wait for a confirmation takes
+/// most.
+const SILENT_TAKEOVER_INTERVAL: Duration = Duration::from_millis(20);
+const SILENT_TAKEOVER_DELAY_MAX: Duration = Duration::from_millis(300);
 /// Replaces [`CONFIRMATION_AGE_MAX`] while the watchers report that their calls to the store fail.
 const STORE_LOST_AGE_MAX: Duration = Duration::from_millis(150);
 /// Delay between two instances, adjacent in rank order, that start to watch.
@@ -29,6 +34,17 @@
     Follow,
 }
 
+/// What an instance hears from the watchers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WatcherContact {
+    /// One of them was heard lately and did not report that its calls to the store fail.
+    Heard,
+    /// All that were heard lately report that their calls to the store fail.
+    Lost,
+    /// None was heard lately, and the next in rank may be lost as well.
+    Silent,
+}
+
 /// Inputs of [`watch_duty`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WatchInputs {
@@ -38,8 +54,8 @@
     pub watchers: usize,
     /// Age of the newest confirmation by the store that this instance received, directly or relayed.
     pub confirmed_age: Duration,
-    /// Whether every watcher with a recent heartbeat reports that its calls to the store fail.
-    pub all_lost: bool,
+    /// What this instance hears from the watchers.
+    pub contact: WatcherContact,
 }
 
 /// Returns whether an instance should watch the store now.
@@ -49,10 +65,14 @@
     }
     let position = u32::try_from(inputs.rank - inputs.watchers).unwrap_or(u32::MAX);
     let delay = TAKEOVER_INTERVAL.saturating_mul(position);
-    let age_limit = match (inputs.all_lost, inputs.rank < LOST_CALLERS) {
-        (false, _) => CONFIRMATION_AGE_MAX + delay.min(TAKEOVER_DELAY_MAX),
-        (true, true) => STORE_LOST_AGE_MAX + delay,
-        (true, false) => LOST_CALLERS_AGE_MAX + delay,
+    let age_limit = match inputs.contact {
+        WatcherContact::Heard => CONFIRMATION_AGE_MAX + delay.min(TAKEOVER_DELAY_MAX),
+        WatcherContact::Silent => {
+            let delay = SILENT_TAKEOVER_INTERVAL.saturating_mul(position);
+            CONFIRMATION_AGE_MAX + delay.min(SILENT_TAKEOVER_DELAY_MAX)
+        }
+        WatcherContact::Lost if inputs.rank < LOST_CALLERS => STORE_LOST_AGE_MAX + delay,
+        WatcherContact::Lost => LOST_CALLERS_AGE_MAX + delay,
     };
     if inputs.confirmed_age > age_limit { WatchDuty::Watch } else { WatchDuty::Follow }
 }
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -4,7 +4,7 @@
 
 use fleet::{
     HeardHeartbeat, HeartbeatMessage, HomePolicy, MemberRecord, MemberTable, WatchDuty,
-    WatchInputs, watch_duty,
+    WatchInputs, WatcherContact, watch_duty,
 };
 use model::{IncarnationId, Millis, MonoTime};
 use std::collections::BTreeSet;
@@ -411,23 +411,27 @@
     fleet_size_in_two_years: (1_000, 7, 14);
 } }
 
-fn check_duty(rank: usize, age_ms: u64, all_lost: bool, expected: WatchDuty) {
-    let inputs =
-        WatchInputs { rank, watchers: 2, confirmed_age: Duration::from_millis(age_ms), all_lost };
+fn check_duty(rank: usize, age_ms: u64, contact: WatcherContact, expected: WatchDuty) {
+    let confirmed_age = Duration::from_millis(age_ms);
+    let inputs = WatchInputs { rank, watchers: 2, confirmed_age, contact };
     assert_eq!(watch_duty(inputs), expected);
 }
 
 cases! { check_duty {
-    first_always_watches: (0, 0, false, WatchDuty::Watch);
-    second_always_watches: (1, 0, false, WatchDuty::Watch);
-    third_follows: (2, 1_000, false, WatchDuty::Follow);
-    third_watches_without_confirmation: (2, 1_400, false, WatchDuty::Watch);
-    fourth_follows_for_longer: (3, 1_400, false, WatchDuty::Follow);
-    third_watches_early_if_store_is_lost: (2, 200, true, WatchDuty::Watch);
-    last_of_large_fleet_watches: (500, 4_000, false, WatchDuty::Watch);
-    twelfth_calls_a_failing_store: (11, 1_600, true, WatchDuty::Watch);
-    last_of_large_fleet_leaves_a_failing_store_alone: (450, 9_000, true, WatchDuty::Follow);
-    others_join_if_all_callers_are_turned_away: (20, 6_000, true, WatchDuty::Watch);
+    first_always_watches: (0, 0, WatcherContact::Heard, WatchDuty::Watch);
+    second_always_watches: (1, 0, WatcherContact::Heard, WatchDuty::Watch);
+    third_follows: (2, 1_000, WatcherContact::Heard, WatchDuty::Follow);
+    third_watches_without_confirmation: (2, 1_400, WatcherContact::Heard, WatchDuty::Watch);
+    fourth_follows_for_longer: (3, 1_400, WatcherContact::Heard, WatchDuty::Follow);
+    third_watches_early_if_store_is_lost: (2, 200, WatcherContact::Lost, WatchDuty::Watch);
+    last_of_large_fleet_watches: (500, 4_000, WatcherContact::Heard, WatchDuty::Watch);
+    twelfth_calls_a_failing_store: (11, 1_600, WatcherContact::Lost, WatchDuty::Watch);
+    last_of_large_fleet_leaves_a_failing_store_alone: (450, 9_000, WatcherContact::Lost, WatchDuty::Follow);
+    others_join_if_all_callers_are_turned_away: (20, 6_000, WatcherContact::Lost, WatchDuty::Watch);
+    third_follows_while_the_watchers_are_silent: (2, 1_200, WatcherContact::Silent, WatchDuty::Follow);
+    // Instances that remained after a great loss held back for up to 3.8 s.
+    last_watches_soon_after_all_watchers_were_lost: (15, 1_700, WatcherContact::Silent, WatchDuty::Watch);
+    last_of_large_fleet_watches_soon_after: (500, 1_700, WatcherContact::Silent, WatchDuty::Watch);
 } }
 
 /// Guards against overflow when a record with this instance's name claims the highest incarnation.
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -6,7 +6,7 @@
 use fleet::{
     ChangeBatch, ChangeOrigin, ConfirmationRecord, FleetSurvey, HeardHeartbeat, HeartbeatMessage,
     HomePolicy, LoadRow, MemberRecord, MemberTable, PullReply, RelayView, StoreChange,
-    StoreReplica, homes_digest, server_tag,
+    StoreReplica, WatcherContact, homes_digest, server_tag,
 };
 use model::{
     ConfigVersion, DataCentre, IncarnationId, InstanceName, MonoTime, ServerKey, StoreEra,
@@ -391,9 +391,9 @@
         }
     }
 
-    /// Whether all watchers with a recent heartbeat report that they lost the store; false if there
-    /// is none.
-    pub fn all_lost(&self, now: MonoTime, watchers: usize) -> bool {
+    /// What this instance hears from the watchers, the first homes. At the start others have yet to hear of
+    /// it, so silence says nothing before the first confirmation.
+    pub fn watcher_contact(&self, now: MonoTime, watchers: usize) -> WatcherContact {
         let names: Vec<&InstanceName> =
             self.homes().iter().take(watchers).map(|home| &home.name).collect();
         let mut recent = self
@@ -401,7 +401,18 @@
             .recent_heartbeats(now)
             .filter(|(_, heartbeat)| names.contains(&&heartbeat.name))
             .peekable();
-        recent.peek().is_some() && recent.all(|(_, heartbeat)| heartbeat.store_lost)
+        if recent.peek().is_none() {
+            return if self.is_confirmed_since_start {
+                WatcherContact::Silent
+            } else {
+                WatcherContact::Heard
+            };
+        }
+        if recent.all(|(_, heartbeat)| heartbeat.store_lost) {
+            WatcherContact::Lost
+        } else {
+            WatcherContact::Heard
+        }
     }
 
     /// Builds the reply to an instance whose replica is at revision `after`: the changes since
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -232,7 +232,7 @@
         rank: fleet.home_rank().unwrap_or_else(|| fleet.rank().max(WATCHERS)),
         watchers: WATCHERS,
         confirmed_age: current_since.map_or(Duration::MAX, |since| now.since(since)),
-        all_lost: fleet.all_lost(now, WATCHERS),
+        contact: fleet.watcher_contact(now, WATCHERS),
     })
 }
 
