Fleet: an instance that reaches the store does not hold back while others are cut off

Callers got 404 for a route, or the older version, 2.2 to 2.4 s after a configuration was accepted (2 s are allowed), from the one instance that reached the store.

Cause: when the watchers report that their calls fail, only the first twelve in rank called the store before the newest confirmation was 3 s old. One whose call succeeded went back to following those whose calls failed.

Why it works: watchers that are cut off know it after 1.35 s. The instances beyond the twelfth call the store from 1.5 s on, 50 ms after each other, and one that is served while the watchers are not goes on watching.

--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -22,8 +22,10 @@
 /// Number of instances, in rank order, that call a store which the watchers report as failing. It
 /// may serve some of them, which then relay its changes; calls of a whole fleet would only load it.
 const LOST_CALLERS: usize = 12;
-/// Age of the newest confirmation beyond which further instances join those, one after another.
-const LOST_CALLERS_AGE_MAX: Duration = Duration::from_secs(3);
+/// Age of the newest confirmation beyond which further instances join those, and the delay between two of them.
+/// By then those that are cut off from the store know it, and its changes can still be in force in time.
+const LOST_CALLERS_AGE_MAX: Duration = Duration::from_millis(1_500);
+const LOST_CALLERS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How an instance receives changes of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +58,8 @@
     pub confirmed_age: Duration,
     /// What this instance hears from the watchers.
     pub contact: WatcherContact,
+    /// Whether this instance watches the store and its latest call succeeded.
+    pub is_served: bool,
 }
 
 /// Returns whether an instance should watch the store now.
@@ -71,8 +75,15 @@
             let delay = SILENT_TAKEOVER_INTERVAL.saturating_mul(position);
             CONFIRMATION_AGE_MAX + delay.min(SILENT_TAKEOVER_DELAY_MAX)
         }
-        WatcherContact::Lost if inputs.rank < LOST_CALLERS => STORE_LOST_AGE_MAX + delay,
-        WatcherContact::Lost => LOST_CALLERS_AGE_MAX + delay,
+        // The store may serve no other instance.
+        WatcherContact::Lost if inputs.is_served => return WatchDuty::Watch,
+        WatcherContact::Lost => match inputs.rank.checked_sub(LOST_CALLERS) {
+            None => STORE_LOST_AGE_MAX + delay,
+            Some(position) => {
+                let position = u32::try_from(position).unwrap_or(u32::MAX);
+                LOST_CALLERS_AGE_MAX + LOST_CALLERS_INTERVAL.saturating_mul(position)
+            }
+        },
     };
     if inputs.confirmed_age > age_limit { WatchDuty::Watch } else { WatchDuty::Follow }
 }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -233,6 +233,7 @@
         watchers: WATCHERS,
         confirmed_age: current_since.map_or(Duration::MAX, |since| now.since(since)),
         contact: fleet.watcher_contact(now, WATCHERS),
+        is_served: fleet.is_watching && !fleet.store_lost,
     })
 }
 
