Link: a head that goes on with another head is no response

Callers got 200 with the server's signature and an empty body for a booking whose answer had 400 bytes.

Cause: a server stopped within the value of a header and sent a second copy of the answer to a health check on the connection. Both make one head for the HTTP library. Heads are told apart by the echoed request id, which the second one lacks.

Why it works: wherever a value is cut, the next head begins with its status line, so the value has one. The pool fails such a response as one that may have run and closes the connection.

--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -239,7 +239,7 @@
             let timed_out = matches!(cause, LinkError::ResponseTimeout);
             let label = match cause {
                 LinkError::ResponseTimeout => "timed_out",
-                LinkError::OtherResponse => "stray",
+                LinkError::OtherResponse | LinkError::GluedHeads => "stray",
                 _ => "broken",
             };
             count_exchange(traffic, label);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -265,7 +265,7 @@
 fn classify_failure(state: &Rc<GatewayState>, guard: SlotGuard, cause: &LinkError) -> ExchangeEnd {
     let send_state = cause.send_state();
     let (label, outcome) = match (send_state, cause) {
-        (_, LinkError::OtherResponse) => {
+        (_, LinkError::OtherResponse | LinkError::GluedHeads) => {
             let key = guard.placement().key.clone();
             state.queue().estimates.record_desync(state.now(), &key);
             ("stray", ExchangeOutcome::Broken)
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -153,6 +153,35 @@
     instance.close();
 }
 
+/// Guards against a success with the body of another response: the head of a response was cut within a value,
+/// and a second copy of the answer to a health check, which names no request, followed on the connection.
+fn check_glued_head(cut: &str) {
+    let (_store, server, instance) = start_with_server();
+    let response = call_work(&instance, &format!("glued-at-{cut}"), "id-1");
+    assert_eq!((response.status, response.header("t-signature")), (502, None));
+    assert_eq!(server.ran(), ["id-1"]);
+    assert_eq!(call_work(&instance, "ok", "id-2").status, 200);
+    instance.close();
+}
+
+cases! { check_glued_head {
+    within_a_load_report: ("t-load:_1,0");
+    within_a_length: ("content-length:_4");
+    within_another_value: ("x-cut:_a");
+    before_a_value: ("x-cut:");
+    before_a_value_and_after_a_space: ("x-cut:_");
+    after_a_line: ("x-cut:_a~");
+} }
+
+/// Values that look a little like a head are left alone.
+#[test]
+fn a_value_that_names_the_protocol_is_no_head() {
+    let (_store, server, instance) = start_with_server();
+    server.set_notice("via: HTTP/1.1 proxy, HTTP/1.1\r\nx-note: HTTP/1.1 20\r\n", false);
+    assert_eq!(call_work(&instance, "ok", "id-1").status, 200);
+    instance.close();
+}
+
 /// The first server does not run the request, and the second one serves it.
 fn check_second_server(behaviour: Behaviour) {
     let (store, first, instance) = start_with_server();
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -300,6 +300,12 @@
             write!(stream, "{head}content-length: {length}\r\n\r\n{body}")?;
             return Ok(true);
         }
+        if let Some(cut) = step.strip_prefix("glued-at-") {
+            let cut = cut.replace('_', " ").replace('~', "\r\n");
+            let other = "HTTP/1.1 200 OK\r\nt-server: first\r\nt-load: 0,0,6\r\n";
+            write!(stream, "{signed}{cut}{other}content-length: 0\r\n\r\n")?;
+            return Ok(true);
+        }
         if let Some(kilobytes) = step.strip_prefix("stalled-") {
             let part = "x".repeat(kilobytes.parse::<usize>().unwrap_or(0) * 1_024);
             return self.dribble(stream, &format!("{signed}\r\n{part}"));
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -33,6 +33,8 @@
     ResponseOverhead,
     /// The response belongs to another request, or does not say to which one.
     OtherResponse,
+    /// The head of the response was cut off and continued by the head of another one.
+    GluedHeads,
     /// The response body is longer than the limit.
     ResponseTooLong,
     /// No memory for the response body became free before the deadline.
@@ -56,6 +58,7 @@
             | Self::InformationalFlood
             | Self::ResponseOverhead
             | Self::OtherResponse
+            | Self::GluedHeads
             | Self::ResponseTooLong
             | Self::ResponseMemory
             | Self::InvalidStatus(_)
@@ -82,6 +85,7 @@
             }
             Self::ResponseOverhead => f.write_str("too many bytes that belong to no head or body"),
             Self::OtherResponse => f.write_str("response to another request"),
+            Self::GluedHeads => f.write_str("response with the head of another one in a value"),
             Self::ResponseTooLong => f.write_str("response body exceeds the length limit"),
             Self::ResponseMemory => f.write_str("memory for response bodies is used up"),
             Self::InvalidStatus(status) => {
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -46,6 +47,8 @@
 const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Default memory for response bodies, in bytes.
 const RESPONSE_MEMORY_DEFAULT: usize = 64 * 1024 * 1024;
+/// Length in bytes of the part of a status line that is compared, as `HTTP/1.1 200`.
+const STATUS_LINE_LENGTH: usize = 12;
 
 /// Settings of a [`LinkPool`], and its builder.
 #[derive(Debug, Clone)]
@@ -183,6 +186,17 @@
     }
 }
 
+/// Whether a value has a status line in it. A server that stops within a value and sends another response on the
+/// connection makes one head of two, and the second may have no identity header.
+fn has_glued_heads(headers: &HeaderMap) -> bool {
+    headers.values().any(|value| value.as_bytes().windows(STATUS_LINE_LENGTH).any(is_status_line))
+}
+
+fn is_status_line(bytes: &[u8]) -> bool {
+    let digits = |range: Range<usize>| bytes[range].iter().all(u8::is_ascii_digit);
+    bytes.starts_with(b"HTTP/1.") && digits(7..8) && bytes[8] == b' ' && digits(9..12)
+}
+
 /// Counts one connection as open until the guard is dropped.
 struct OpenGuard {
     addresses: Arc<Mutex<AddressMap>>,
@@ -258,6 +272,9 @@
             if !is_final(response.status()) {
                 return Err(LinkError::InvalidStatus(response.status()));
             }
+            if has_glued_heads(response.headers()) {
+                return Err(LinkError::GluedHeads);
+            }
             meter.begin();
             let response = response.map(|body| MeteredBody::new(body, meter.clone()));
             let identity = header.map_or(ResponseIdentity::Same, |name| {
