Tests: an instance that stands still, and a server that vanishes during an outage

Two tests of the gateway for the rule on records that vanish. The second holds the other side: after failed calls a server whose record vanished is kept until it announces itself again.

--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -6,8 +6,8 @@
 use support::backend::ScriptedBackend;
 use support::client::call;
 use support::fixture::{
-    TestInstance, call_work, free_addresses, is_ready, start_at, start_instance, start_with_server,
-    wait_until, write_server_record,
+    STANDSTILL_TEXT, TestInstance, call_work, free_addresses, is_ready, start_at, start_instance,
+    start_with_server, wait_until, write_server_record,
 };
 use support::memory_store::MemoryStore;
 
@@ -19,6 +19,12 @@
 /// Time in which the store refuses an instance that stops. Shorter than its grace period.
 const REFUSED_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time without a confirmation after which failed calls mean an outage.
+const OUTAGE_PERIOD: Duration = Duration::from_millis(2_500);
+
+/// Time in which an instance reads a record that makes it stand still.
+const STANDSTILL_BEGIN: Duration = Duration::from_millis(300);
+
 /// Requests that a server with a limit of one request a second may get within four seconds.
 const LIMITED_REQUESTS_MAX: usize = 11;
 
@@ -26,6 +32,13 @@
     call(instance.callers, "POST", path, "probe").status
 }
 
+/// Returns the revision of the store up to which an instance knows the changes.
+fn revision(instance: &TestInstance) -> u64 {
+    let metrics = call(instance.metrics, "GET", "/metrics", "m").body;
+    let value = metrics.lines().find_map(|line| line.strip_prefix("lacewing_replica_revision "));
+    value.expect("the metric").parse().expect("a number")
+}
+
 fn start_two(store: &MemoryStore) -> (TestInstance, TestInstance) {
     let instances = (start_instance("one", store), start_instance("two", store));
     for instance in [&instances.0, &instances.1] {
@@ -192,6 +205,42 @@
     two.close();
 }
 
+/// A server whose record expired during an outage stays in use until it has announced itself again.
+#[test]
+fn a_server_that_vanishes_during_an_outage_stays_in_use() {
+    let (store, server, instance) = start_with_server();
+    wait_until("it has registered itself", || store.has("members/one"));
+    let registered = store.revision();
+    wait_until("the store has confirmed its state", || revision(&instance) >= registered);
+    store.set_refused(&instance.name, true);
+    std::thread::sleep(OUTAGE_PERIOD);
+    store.set("servers/first", None);
+    store.set_refused(&instance.name, false);
+    wait_until("the server is kept", || {
+        let metrics = call(instance.metrics, "GET", "/metrics", "m").body;
+        metrics.contains("lacewing_vanished_servers_total 1\n")
+    });
+    write_server_record(&store, &server, "ready");
+    wait_until("it is announced again", || call_work(&instance, "ok", "id").status == 200);
+    instance.close();
+}
+
+/// Guards against using a server after its removal is known: the silence of an instance that stood still was read
+/// as an outage of the store, in which records of live servers expire.
+#[test]
+fn a_server_that_is_removed_while_the_instance_stands_still_is_gone() {
+    let (store, server, instance) = start_with_server();
+    wait_until("it serves", || call_work(&instance, "ok", "id").status == 200);
+    store.set("servers/other", Some(STANDSTILL_TEXT));
+    std::thread::sleep(STANDSTILL_BEGIN);
+    let removed = store.set("servers/first", None);
+    let arrived = server.record.lock().expect("record").arrived.len();
+    wait_until("the removal is known", || revision(&instance) >= removed);
+    assert_eq!(call_work(&instance, "ok", "id").status, 503);
+    assert_eq!(server.record.lock().expect("record").arrived.len(), arrived);
+    instance.close();
+}
+
 /// Guards against relaying a batch as complete without the changes that the watcher already had.
 #[test]
 fn a_change_that_a_restarted_watcher_read_ahead_reaches_the_others() {
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -32,6 +32,12 @@
 /// A load report or record with this text makes the binding or the decoder of the tests panic.
 pub const PANIC_TEXT: &str = "panic";
 
+/// A record with this text makes the decoder of the tests, and with it the instance, stand still for
+/// [`STANDSTILL`].
+pub const STANDSTILL_TEXT: &str = "stand still";
+/// Longer than the time without a confirmation by the store that may be an outage of it.
+const STANDSTILL: Duration = Duration::from_millis(2_500);
+
 /// Protocol binding of the tests.
 struct TestBinding(HeaderNames);
 
@@ -121,6 +127,9 @@
 
     fn decode(&self, key: &str, value: &str) -> StoreRecord<RouteTable> {
         assert_ne!(value, PANIC_TEXT);
+        if value == STANDSTILL_TEXT {
+            std::thread::sleep(STANDSTILL);
+        }
         if key == "config" {
             return decode_config(value)
                 .map_or(StoreRecord::Malformed("version".into()), StoreRecord::Config);
