Fleet: of the first twelve callers one watches the store while the watchers are cut off

Nobody saw a wrong answer; the platform was called more. In a cut that meets both watchers all of the first twelve callers that the store served went on watching it, each of them returning at every change.

Cause: the rule of "an instance that reaches the store does not hold back" was meant for the one that holds back, beyond the twelfth, and held for all.

The case one_of_the_first_twelve_follows_another of fleet check_served_duty fails with it.

Only one beyond them, which calls when none of them is served, goes on.

--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -75,10 +75,10 @@
             let delay = SILENT_TAKEOVER_INTERVAL.saturating_mul(position);
             CONFIRMATION_AGE_MAX + delay.min(SILENT_TAKEOVER_DELAY_MAX)
         }
-        // The store may serve no other instance.
-        WatcherContact::Lost if inputs.is_served => return WatchDuty::Watch,
         WatcherContact::Lost => match inputs.rank.checked_sub(LOST_CALLERS) {
             None => STORE_LOST_AGE_MAX + delay,
+            // The store serves none of those before it.
+            Some(_) if inputs.is_served => return WatchDuty::Watch,
             Some(position) => {
                 let position = u32::try_from(position).unwrap_or(u32::MAX);
                 LOST_CALLERS_AGE_MAX + LOST_CALLERS_INTERVAL.saturating_mul(position)
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -451,6 +451,8 @@
     waits_for_those_before_it: (15, 1_500, WatcherContact::Lost, false, WatchDuty::Follow);
     calls_before_changes_are_due: (15, 1_700, WatcherContact::Lost, false, WatchDuty::Watch);
     watches_on_while_it_is_served: (15, 0, WatcherContact::Lost, true, WatchDuty::Watch);
+    // All of the first twelve that the store served watched it: their calls cost a large fleet a tenth of its worth.
+    one_of_the_first_twelve_follows_another: (11, 0, WatcherContact::Lost, true, WatchDuty::Follow);
     follows_when_a_watcher_is_served: (15, 0, WatcherContact::Heard, true, WatchDuty::Follow);
 } }
 
