Fleet: sooner takeovers of the watch only without relays

Nobody saw a wrong answer; in fleets with relays the platform was called more.

Cause: the two rules that let instances call the store sooner, after the loss of all watchers and in a cut, read the age of a confirmation and the silence of watchers. Through relays both are up to 0.6 s older while all works.

--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -22,10 +22,13 @@
 /// Number of instances, in rank order, that call a store which the watchers report as failing. It
 /// may serve some of them, which then relay its changes; calls of a whole fleet would only load it.
 const LOST_CALLERS: usize = 12;
-/// Age of the newest confirmation beyond which further instances join those, and the delay between two of them.
-/// By then those that are cut off from the store know it, and its changes can still be in force in time.
-const LOST_CALLERS_AGE_MAX: Duration = Duration::from_millis(1_500);
-const LOST_CALLERS_INTERVAL: Duration = Duration::from_millis(50);
+/// Age of the newest confirmation beyond which further instances join those, one after another.
+const LOST_CALLERS_AGE_MAX: Duration = Duration::from_secs(3);
+/// The same in a fleet without relays, and the delay between two instances there. By then those that are cut off
+/// from the store know it, and its changes can still be in force in time. Through relays a confirmation may be
+/// that old while the store works.
+const DIRECT_CALLERS_AGE_MAX: Duration = Duration::from_millis(1_500);
+const DIRECT_CALLERS_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How an instance receives changes of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,7 +46,8 @@
     Heard,
     /// All that were heard lately report that their calls to the store fail.
     Lost,
-    /// None was heard lately, and the next in rank may be lost as well.
+    /// None was heard lately, although heartbeats come from their senders, and the next in rank may be lost as
+    /// well.
     Silent,
 }
 
@@ -60,6 +64,8 @@
     pub contact: WatcherContact,
     /// Whether this instance watches the store and its latest call succeeded.
     pub is_served: bool,
+    /// Whether heartbeats come from their senders, not through relays.
+    pub is_direct: bool,
 }
 
 /// Returns whether an instance should watch the store now.
@@ -77,11 +83,12 @@
         }
         WatcherContact::Lost => match inputs.rank.checked_sub(LOST_CALLERS) {
             None => STORE_LOST_AGE_MAX + delay,
+            Some(_) if !inputs.is_direct => LOST_CALLERS_AGE_MAX + delay,
             // The store serves none of those before it.
             Some(_) if inputs.is_served => return WatchDuty::Watch,
             Some(position) => {
                 let position = u32::try_from(position).unwrap_or(u32::MAX);
-                LOST_CALLERS_AGE_MAX + LOST_CALLERS_INTERVAL.saturating_mul(position)
+                DIRECT_CALLERS_AGE_MAX + DIRECT_CALLERS_INTERVAL.saturating_mul(position)
             }
         },
     };
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -256,7 +256,7 @@
     /// Datagram addresses of the instances to which this one sends its heartbeats: all others, or in a
     /// large fleet those that have a duty and pass them on.
     pub fn heartbeat_targets(&self) -> Vec<SocketAddr> {
-        if self.survey.centre_relays.is_empty() {
+        if self.has_direct_heartbeats() {
             return self.members.others().map(|record| record.datagram_address).collect();
         }
         self.survey.heartbeat_targets.clone()
@@ -391,8 +391,13 @@
         }
     }
 
+    /// Whether heartbeats come from their senders, as in a small fleet, not through relays.
+    pub fn has_direct_heartbeats(&self) -> bool {
+        self.survey.centre_relays.is_empty()
+    }
+
     /// What this instance hears from the watchers, the first homes. At the start others have yet to hear of
-    /// it, so silence says nothing before the first confirmation.
+    /// it, so silence says nothing before the first confirmation; nor does that of relays.
     pub fn watcher_contact(&self, now: MonoTime, watchers: usize) -> WatcherContact {
         let names: Vec<&InstanceName> =
             self.homes().iter().take(watchers).map(|home| &home.name).collect();
@@ -402,7 +407,7 @@
             .filter(|(_, heartbeat)| names.contains(&&heartbeat.name))
             .peekable();
         if recent.peek().is_none() {
-            return if self.is_confirmed_since_start {
+            return if self.is_confirmed_since_start && self.has_direct_heartbeats() {
                 WatcherContact::Silent
             } else {
                 WatcherContact::Heard
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -234,6 +234,7 @@
         confirmed_age: current_since.map_or(Duration::MAX, |since| now.since(since)),
         contact: fleet.watcher_contact(now, WATCHERS),
         is_served: fleet.is_watching && !fleet.store_lost,
+        is_direct: fleet.has_direct_heartbeats(),
     })
 }
 
