--- a/crates/fleet/src/store_contact.rs
+++ b/crates/fleet/src/store_contact.rs
@@ -103,8 +103,9 @@
         self.confirmed_at
     }
 
-    /// When a store that has been found at `now` to serve again did so, at the latest: soon after the
-    /// last contact, unless nobody called it then.
+    /// Estimates when the store returned that is found at `now` to serve again. Instances that call it
+    /// notice its return within `NOTICE_MAX` of the last contact. If `now` is later, nobody called it, and it
+    /// may have returned that early.
     pub fn returned_at(&self, now: MonoTime) -> MonoTime {
         let contact = self.confirmed_at.max(self.failed_at);
         contact.map_or(now, |at| now.min(at.plus(NOTICE_MAX)))
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -42,7 +42,8 @@
 /// What an instance hears from the watchers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WatcherContact {
-    /// One of them was heard lately and did not report that its calls to the store fail.
+    /// One of them was heard lately and did not report that its calls to the store fail, or their silence says
+    /// nothing.
     Heard,
     /// All that were heard lately report that their calls to the store fail.
     Lost,
