--- a/crates/fleet/tests/store_contact.rs
+++ b/crates/fleet/tests/store_contact.rs
@@ -82,7 +82,10 @@
     never_confirmed: (&[], 9_000, None);
     while_the_store_works: (&[Confirmed(1_000, 0), Confirmed(2_000, 0), Confirmed(3_000, 300)], 3_500, None);
     // A watch that is cut is followed by a call that confirms the replica.
-    after_cut_watches: (&[Confirmed(1_000, 0), Confirmed(1_730, 0), Confirmed(2_460, 0)], 2_500, None);
+    after_cut_watches: (
+        &[Confirmed(1_000, 0), Confirmed(1_730, 0), Confirmed(2_460, 0), Confirmed(3_190, 0)],
+        3_200, None,
+    );
     turned_away_beside_others_that_are_served: (
         &[Confirmed(1_000, 0), Failed(2_000), Confirmed(2_300, 900), Failed(3_000), Confirmed(3_300, 900)],
         4_000, None,
