--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -10,6 +10,7 @@
 mod memory;
 mod pool;
 mod read_meter;
+mod response_head;
 mod server;
 
 pub use body::{BodyBudget, BodyError, HeldBytes, read_body};
--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -4,16 +4,16 @@
 use crate::error::LinkError;
 use crate::memory::ResponseMemory;
 use crate::read_meter::{MeteredBody, MeteredStream, ReadMeter};
+use crate::response_head::{ResponseIdentity, has_glued_heads, is_final, is_framed};
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, Request, Response};
 use http_body_util::Full;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -47,8 +47,6 @@
 const READ_BUFFER_MAX_BYTES: usize = 32 * 1024;
 /// Default memory for response bodies, in bytes.
 const RESPONSE_MEMORY_DEFAULT: usize = 64 * 1024 * 1024;
-/// Length in bytes of the part of a status line that is compared, as `HTTP/1.1 200`.
-const STATUS_LINE_LENGTH: usize = 12;
 
 /// Settings of a [`LinkPool`], and its builder.
 #[derive(Debug, Clone)]
@@ -163,40 +161,6 @@
     addresses: Arc<Mutex<AddressMap>>,
 }
 
-/// What the identity header of a response shows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ResponseIdentity {
-    /// The response belongs to the request.
-    Same,
-    /// The response does not say which request it belongs to.
-    Unnamed,
-    /// The response belongs to another request.
-    Other,
-}
-
-impl ResponseIdentity {
-    fn new(requested: Option<&HeaderValue>, headers: &HeaderMap, name: &HeaderName) -> Self {
-        let mut values = headers.get_all(name).iter();
-        match (requested, values.next(), values.next()) {
-            (Some(_), None, _) => Self::Unnamed,
-            (None, None, _) => Self::Same,
-            (Some(requested), Some(value), None) if value == requested => Self::Same,
-            _ => Self::Other,
-        }
-    }
-}
-
-/// Whether a value has a status line in it. A server that stops within a value and sends another response on the
-/// connection makes one head of two, and the second may have no identity header.
-fn has_glued_heads(headers: &HeaderMap) -> bool {
-    headers.values().any(|value| value.as_bytes().windows(STATUS_LINE_LENGTH).any(is_status_line))
-}
-
-fn is_status_line(bytes: &[u8]) -> bool {
-    let digits = |range: Range<usize>| bytes[range].iter().all(u8::is_ascii_digit);
-    bytes.starts_with(b"HTTP/1.") && digits(7..8) && bytes[8] == b' ' && digits(9..12)
-}
-
 /// Counts one connection as open until the guard is dropped.
 struct OpenGuard {
     addresses: Arc<Mutex<AddressMap>>,
@@ -476,18 +440,6 @@
     }
 }
 
-/// Whether a status ends an exchange. The HTTP library accepts any three digits, and hands on the status 101,
-/// which no request here asks for.
-fn is_final(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
-/// Whether a response states where it ends.
-fn is_framed(response: &Response<MeteredBody<Incoming>>) -> bool {
-    response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Returns what is notified once the server has sent more informational heads than it may. Without
 /// that the parser would go on with them until the deadline, and little else on this thread would run.
 fn detect_flood(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
