--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -7,11 +7,6 @@
 /// Age of the newest confirmation beyond which other instances than the regular watchers start to
 /// watch. It is longer than a watch of an idle store takes to return.
 const CONFIRMATION_AGE_MAX: Duration = Duration::from_millis(1_300);
-/// Delay between two adjacent instances while no watcher is heard, and the longest total delay then. The
-/// store's changes must be in force 2 s after it accepted them, of which the wait for a confirmation takes
-/// most.
-const SILENT_TAKEOVER_INTERVAL: Duration = Duration::from_millis(20);
-const SILENT_TAKEOVER_DELAY_MAX: Duration = Duration::from_millis(300);
 /// Replaces [`CONFIRMATION_AGE_MAX`] while the watchers report that their calls to the store fail.
 const STORE_LOST_AGE_MAX: Duration = Duration::from_millis(150);
 /// Delay between two instances, adjacent in rank order, that start to watch.
@@ -19,14 +14,18 @@
 /// Longest total delay of an instance; without this bound the last instances of a large fleet would
 /// wait too long.
 const TAKEOVER_DELAY_MAX: Duration = Duration::from_millis(2_500);
+/// Replace [`TAKEOVER_INTERVAL`] and [`TAKEOVER_DELAY_MAX`] while no watcher is heard. Changes must be in force 2 s
+/// after the store accepted them, of which [`CONFIRMATION_AGE_MAX`] takes most.
+const SILENT_TAKEOVER_INTERVAL: Duration = Duration::from_millis(20);
+const SILENT_TAKEOVER_DELAY_MAX: Duration = Duration::from_millis(300);
 /// Number of instances, in rank order, that call a store which the watchers report as failing. It
 /// may serve some of them, which then relay its changes; calls of a whole fleet would only load it.
 const LOST_CALLERS: usize = 12;
 /// Age of the newest confirmation beyond which further instances join those, one after another.
 const LOST_CALLERS_AGE_MAX: Duration = Duration::from_secs(3);
-/// The same in a fleet without relays, and the delay between two instances there. By then those that are cut off
-/// from the store know it, and its changes can still be in force in time. Through relays a confirmation may be
-/// that old while the store works.
+/// Replace [`LOST_CALLERS_AGE_MAX`] and [`TAKEOVER_INTERVAL`] in a fleet without relays. By then those that are cut
+/// off from the store know it, and its changes can still be in force in time. Through relays a confirmation may
+/// be that old while the store works.
 const DIRECT_CALLERS_AGE_MAX: Duration = Duration::from_millis(1_500);
 const DIRECT_CALLERS_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -71,15 +70,14 @@
 
 /// Returns whether an instance should watch the store now.
 pub fn watch_duty(inputs: WatchInputs) -> WatchDuty {
-    if inputs.rank < inputs.watchers {
+    let Some(before) = inputs.rank.checked_sub(inputs.watchers) else {
         return WatchDuty::Watch;
-    }
-    let position = u32::try_from(inputs.rank - inputs.watchers).unwrap_or(u32::MAX);
-    let delay = TAKEOVER_INTERVAL.saturating_mul(position);
+    };
+    let delay = total_delay(TAKEOVER_INTERVAL, before);
     let age_limit = match inputs.contact {
         WatcherContact::Heard => CONFIRMATION_AGE_MAX + delay.min(TAKEOVER_DELAY_MAX),
         WatcherContact::Silent => {
-            let delay = SILENT_TAKEOVER_INTERVAL.saturating_mul(position);
+            let delay = total_delay(SILENT_TAKEOVER_INTERVAL, before);
             CONFIRMATION_AGE_MAX + delay.min(SILENT_TAKEOVER_DELAY_MAX)
         }
         WatcherContact::Lost => match inputs.rank.checked_sub(LOST_CALLERS) {
@@ -87,11 +85,13 @@
             Some(_) if !inputs.is_direct => LOST_CALLERS_AGE_MAX + delay,
             // The store serves none of those before it.
             Some(_) if inputs.is_served => return WatchDuty::Watch,
-            Some(position) => {
-                let position = u32::try_from(position).unwrap_or(u32::MAX);
-                DIRECT_CALLERS_AGE_MAX + DIRECT_CALLERS_INTERVAL.saturating_mul(position)
-            }
+            Some(before) => DIRECT_CALLERS_AGE_MAX + total_delay(DIRECT_CALLERS_INTERVAL, before),
         },
     };
     if inputs.confirmed_age > age_limit { WatchDuty::Watch } else { WatchDuty::Follow }
 }
+
+/// Returns the delay of an instance with this many before it.
+fn total_delay(interval: Duration, before: usize) -> Duration {
+    interval.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX))
+}
--- a/crates/gateway/src/fleet_state.rs
+++ b/crates/gateway/src/fleet_state.rs
@@ -108,9 +108,9 @@
     pub vanished: HashMap<ServerKey, MonoTime>,
     /// Servers that were removed within [`GONE_TTL`].
     gone: HashMap<ServerKey, MonoTime>,
-    /// Era of the store in the replica; `None` before the first snapshot.
+    /// Era of the records in use; `None` before the first snapshot.
     era: Option<StoreEra>,
-    /// The latest era of the store that was noticed; the records of an earlier one may still be in use.
+    /// Era of the replica, whose records may not be in use yet.
     noticed_era: Option<StoreEra>,
     /// When the store came back older, if it did so in this run.
     returned_at: Option<MonoTime>,
@@ -336,8 +336,8 @@
     /// that led to this era undo what was written since the copy.
     pub fn record_era(&mut self, now: MonoTime) -> bool {
         self.notice_era(now);
-        let earlier = self.era.replace(self.replica.as_of().era());
-        earlier < self.era && earlier.is_some()
+        let era = self.replica.as_of().era();
+        self.era.replace(era).is_some_and(|earlier| earlier < era)
     }
 
     /// Records that a server was removed.
@@ -407,16 +407,12 @@
             .filter(|(_, heartbeat)| names.contains(&&heartbeat.name))
             .peekable();
         if recent.peek().is_none() {
-            return if self.is_confirmed_since_start && self.has_direct_heartbeats() {
-                WatcherContact::Silent
-            } else {
-                WatcherContact::Heard
-            };
+            let says_something = self.is_confirmed_since_start && self.has_direct_heartbeats();
+            return if says_something { WatcherContact::Silent } else { WatcherContact::Heard };
         }
-        if recent.all(|(_, heartbeat)| heartbeat.store_lost) {
-            WatcherContact::Lost
-        } else {
-            WatcherContact::Heard
+        match recent.all(|(_, heartbeat)| heartbeat.store_lost) {
+            true => WatcherContact::Lost,
+            false => WatcherContact::Heard,
         }
     }
 
