--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -185,15 +185,7 @@
         guard.close(ExchangeOutcome::Broken);
         return ExchangeEnd::MayHaveRun("success without signature".into());
     }
-    // Without the mark a server that ran the request may have sent it.
-    let is_unmarked = NOT_RUN_STATUSES.contains(&status);
-    let (label, outcome) = if is_unmarked {
-        ("unmarked", ExchangeOutcome::Failed)
-    } else if status.is_server_error() {
-        ("failed", ExchangeOutcome::Failed)
-    } else {
-        ("answered", ExchangeOutcome::Answered)
-    };
+    let (label, outcome) = status_outcome(status);
     state.metrics.exchange(label);
     let placement = guard.placement().clone();
     let bytes = outbound.body.len() + response.body().len();
@@ -216,15 +208,27 @@
             });
         }
     }
-    if is_unmarked {
+    // Without the mark a server that ran the request may have sent the status.
+    if NOT_RUN_STATUSES.contains(&status) {
+        let code = status.as_u16();
         return ExchangeEnd::MayHaveRun(format_smolstr!(
-            "status {} without the mark for not run",
-            status.as_u16()
+            "status {code} without the mark for not run"
         ));
     }
     ExchangeEnd::Answered(response)
 }
 
+/// Returns the metric label and the outcome of an exchange with a response that has no mark for not run.
+fn status_outcome(status: StatusCode) -> (&'static str, ExchangeOutcome) {
+    if NOT_RUN_STATUSES.contains(&status) {
+        ("unmarked", ExchangeOutcome::Failed)
+    } else if status.is_server_error() {
+        ("failed", ExchangeOutcome::Failed)
+    } else {
+        ("answered", ExchangeOutcome::Answered)
+    }
+}
+
 /// Returns the load report in the headers of a response, if it has a valid one. A malformed one is
 /// logged and counted, and the server's earlier report stays in use.
 pub(crate) fn parse_load_report(
