--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -411,12 +411,16 @@
     fleet_size_in_two_years: (1_000, 7, 14);
 } }
 
+/// Inputs of an instance that the store does not serve, in a small fleet.
+fn watch_inputs(rank: usize, age_ms: u64, contact: WatcherContact) -> WatchInputs {
+    let confirmed_age = Duration::from_millis(age_ms);
+    WatchInputs { rank, watchers: 2, confirmed_age, contact, is_served: false, is_direct: true }
+}
+
+/// Compares the duty with and without relays.
 fn check_duty(rank: usize, age_ms: u64, contact: WatcherContact, expected: WatchDuty) {
     for is_direct in [false, true] {
-        let confirmed_age = Duration::from_millis(age_ms);
-        let is_served = false;
-        let inputs =
-            WatchInputs { rank, watchers: 2, confirmed_age, contact, is_served, is_direct };
+        let inputs = WatchInputs { is_direct, ..watch_inputs(rank, age_ms, contact) };
         assert_eq!(watch_duty(inputs), expected);
     }
 }
@@ -447,14 +451,7 @@
     is_served: bool,
     expected: WatchDuty,
 ) {
-    let inputs = WatchInputs {
-        rank,
-        watchers: 2,
-        confirmed_age: Duration::from_millis(age_ms),
-        contact,
-        is_served,
-        is_direct: true,
-    };
+    let inputs = WatchInputs { is_served, ..watch_inputs(rank, age_ms, contact) };
     assert_eq!(watch_duty(inputs), expected);
 }
 
@@ -470,14 +467,8 @@
 /// relays are older.
 #[test]
 fn instances_behind_relays_leave_the_store_to_the_first_twelve() {
-    let inputs = WatchInputs {
-        rank: 12,
-        watchers: 2,
-        confirmed_age: Duration::from_millis(2_500),
-        contact: WatcherContact::Lost,
-        is_served: true,
-        is_direct: false,
-    };
+    let inputs = watch_inputs(12, 2_500, WatcherContact::Lost);
+    let inputs = WatchInputs { is_served: true, is_direct: false, ..inputs };
     assert_eq!(watch_duty(inputs), WatchDuty::Follow);
 }
 
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -4,7 +4,7 @@
 
 use std::io::Write;
 use support::backend::{Behaviour, ScriptedBackend};
-use support::client::{call, connect, exchange, request};
+use support::client::{assert_unknown, call, connect, exchange, request};
 use support::fixture::{
     add_second_server, call_work, start_with_server, wait_until, write_server_record,
 };
@@ -154,8 +154,7 @@
 /// and a second copy of the answer to a health check, which names no request, followed on the connection.
 fn check_glued_head(cut: &str) {
     let (_store, server, instance) = start_with_server();
-    let response = call_work(&instance, &format!("glued-at-{cut}"), "id-1");
-    assert_eq!((response.status, response.header("t-signature")), (502, None));
+    assert_unknown(&call_work(&instance, &format!("glued-at-{cut}"), "id-1"));
     assert_eq!(server.ran(), ["id-1"]);
     assert_eq!(call_work(&instance, "ok", "id-2").status, 200);
     instance.close();
--- a/crates/gateway/tests/invalid_status.rs
+++ b/crates/gateway/tests/invalid_status.rs
@@ -3,17 +3,14 @@
 mod support;
 
 use std::time::Duration;
-use support::client::call;
+use support::client::{assert_unknown, call};
 use support::fixture::{call_work, start_with_server, wait_until};
 use testkit::cases;
 
 /// Guards against a status that a caller takes for an answer. The work may have run, so it is not sent again.
 fn check_status(step: &str) {
     let (_store, server, instance) = start_with_server();
-    let response = call_work(&instance, step, "id-1");
-    assert_eq!(response.status, 502, "{}", response.head);
-    assert!(response.header("t-signature").is_none(), "nothing of the server's answer");
-    assert!(!response.body.contains("ran body"));
+    assert_unknown(&call_work(&instance, step, "id-1"));
     assert_eq!(server.ran(), ["id-1"]);
     // The connection is not used again, and the next request is served.
     assert_eq!(call_work(&instance, "ok", "id-2").status, 200);
--- a/crates/gateway/tests/not_run_promise.rs
+++ b/crates/gateway/tests/not_run_promise.rs
@@ -2,22 +2,13 @@
 
 mod support;
 
-use support::client::{PlainResponse, call, connect, exchange, request};
+use support::client::{assert_unknown, call, connect, exchange, request};
 use support::fixture::{add_second_server, call_work, start_with_server};
 use testkit::cases;
 
 /// A body that takes several reads.
 const LONG_BODY_BYTES: usize = 9_000;
 
-/// Asserts that a response neither promises anything nor passes as the server's own.
-fn assert_unknown(response: &PlainResponse) {
-    assert_eq!(response.status, 502, "{}", response.head);
-    for header in ["t-signature", "retry-after"] {
-        assert!(response.header(header).is_none(), "{}", response.head);
-    }
-    assert!(!response.body.contains("ran body"));
-}
-
 /// Guards against a booking that has run and whose caller is told that it has not: it would book again.
 fn check_booking(step: &str, body: &str) {
     let (_store, server, instance) = start_with_server();
--- a/crates/gateway/tests/support/backend.rs
+++ b/crates/gateway/tests/support/backend.rs
@@ -300,6 +300,7 @@
             write!(stream, "{head}content-length: {length}\r\n\r\n{body}")?;
             return Ok(true);
         }
+        // The head up to where it is cut, with `_` for a space and `~` for a line end.
         if let Some(cut) = step.strip_prefix("glued-at-") {
             let cut = cut.replace('_', " ").replace('~', "\r\n");
             let other = "HTTP/1.1 200 OK\r\nt-server: first\r\nt-load: 0,0,6\r\n";
--- a/crates/gateway/tests/support/client.rs
+++ b/crates/gateway/tests/support/client.rs
@@ -28,6 +28,15 @@
     }
 }
 
+/// Asserts that a response neither promises that its request did not run nor passes as the server's own.
+pub fn assert_unknown(response: &PlainResponse) {
+    assert_eq!(response.status, 502, "{}", response.head);
+    for header in ["t-signature", "retry-after"] {
+        assert!(response.header(header).is_none(), "{}", response.head);
+    }
+    assert!(!response.body.contains("ran body"), "{}", response.body);
+}
+
 /// Opens a connection.
 pub fn connect(address: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(address).expect("the instance listens");
