--- a/crates/fleet/tests/store_contact.rs
+++ b/crates/fleet/tests/store_contact.rs
@@ -98,7 +98,11 @@
         7_700, Some(7_800),
     );
     later: (
-        &[Confirmed(1_000, 0), Failed(5_000), Confirmed(6_000, 0), Confirmed(7_000, 0)], 8_000, None,
+        &[
+            Confirmed(1_000, 0), Failed(5_000), Confirmed(6_000, 0), Confirmed(7_000, 0),
+            Confirmed(8_000, 0),
+        ],
+        8_000, None,
     );
     while_it_lasts: (&[Confirmed(1_000, 0), Failed(2_300)], 3_500, Some(5_300));
     an_old_confirmation_ends_no_outage: (
@@ -119,7 +123,7 @@
     );
 } }
 
-/// Plays contacts and compares when a store that is found to have come back older did so, at the latest.
+/// Plays contacts and compares when a store that is found at `now` to have come back older did so, as estimated.
 fn check_returned(contacts: &[Contact], now: u64, expected: u64) {
     let record = play(contacts);
     assert_eq!(record.returned_at(at(now)), at(expected));
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -218,7 +218,8 @@
     store.set_refused(&instance.name, false);
     wait_until("the server is kept", || {
         let metrics = call(instance.metrics, "GET", "/metrics", "m").body;
-        metrics.contains("lacewing_vanished_servers_total 1\n")
+        let has = |line: &str| metrics.lines().any(|known| known == line);
+        has("lacewing_vanished_servers_total 1") && has("lacewing_servers 1")
     });
     write_server_record(&store, &server, "ready");
     wait_until("it is announced again", || call_work(&instance, "ok", "id").status == 200);
