--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod raw_server;
 pub mod relay;
 
 use relay::{FaultRelay, RelayFault};
--- a/crates/gateway/tests/support/fixture.rs
+++ b/crates/gateway/tests/support/fixture.rs
@@ -409,3 +409,18 @@
 pub fn call_work(instance: &TestInstance, step: &str, id: &str) -> PlainResponse {
     call(instance.callers, "POST", &format!("/work/{step}/"), id)
 }
+
+/// Starts a second server and waits until an instance uses both.
+pub fn add_second_server(
+    store: &MemoryStore,
+    first: &ScriptedBackend,
+    instance: &TestInstance,
+) -> ScriptedBackend {
+    let second = ScriptedBackend::start("second");
+    write_server_record(store, &second, "ready");
+    wait_until("both servers are used", || {
+        call_work(instance, "ok", "warm");
+        !first.ran().is_empty() && !second.ran().is_empty()
+    });
+    second
+}
